--- /dev/null
+++ b/include/robinpin/choice.h
@@ -0,0 +1,235 @@
+// The interface of robinpin's decision module (src/choice.cpp): the types it is called with and keeps.
+// It knows no wire, clock or I/O. Every input is a call with the time; what is to be done comes back in
+// `Decisions`.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace robinpin {
+
+using micros = std::int64_t;
+
+enum class repeats { repeatable, referenced, once_only };
+enum class group { all, zone, cell };
+
+// One row a scheme: only what the module reads.
+struct scheme_row {
+  repeats kind = repeats::repeatable;
+  group within = group::all;
+  micros memory = 0;  // how long servers know a mark again
+  micros sla = 0;
+  double sla_stretch = 0;  // the SLA time grows by so many times the txn's own work
+  micros expiry = 0;
+  double revenue = 1;
+  double late_revenue = 0;
+};
+
+// The house's terms, read once at start.
+struct Terms {
+  std::vector<scheme_row> schemes;
+  std::vector<double> allowances;  // per tenant, txns a second over all nodes
+  double beyond_share = 1;         // revenue of a txn beyond its tenant's share
+  std::string zone;
+  int tier = 0;
+  int tiers = 1;
+  int nodes = 1;
+  bool by_work = false;  // revenue is counted by work
+  bool ask_list = false;
+  bool told_time_left = false;
+  bool tail_counts = false;  // the goal has a part for punctuality
+  bool sizes_told = false;
+  bool may_probe = false;
+  bool may_withdraw = false;
+  bool two_at_once = false;
+  bool advice_heeded = false;
+  int most_postings = 1;
+  micros longest_advice = 0;
+  micros drain_grace = 0;
+  micros ask_every = 0;
+  micros cold_for = 0;
+  double cold_from = 1;
+  double tip_multiple = 1;
+  micros tip_window = 0;
+  double price_crossing = 0;
+  double price_waste = 0;
+  double price_probe = 0;
+};
+
+enum class standing { serving, draining, gone };
+
+struct Line {
+  std::string server;
+  std::string zone;
+  std::string kind;
+  int cell = 0;
+  double size = 1;
+  standing state = standing::serving;
+  micros started = 0;  // 0: long ago
+};
+
+enum class ending { settled, error, refused, timed_out, unreachable, reset, withdrawn, moot };
+
+struct Report {  // what a server says of itself; below zero: not told
+  double waiting = -1;
+  double in_work = -1;
+  double busy = -1;
+  micros service = -1;
+};
+
+// A sum that fades with time, brought up to date when it is read.
+struct Fading {
+  double sum = 0;
+  micros at = 0;
+  double read(micros now, micros life) const;
+  void add(micros now, micros life, double x);
+};
+
+constexpr int most_bins = 256;
+
+// The sliding histogram of one server's last latencies.
+struct Window {
+  std::deque<std::uint16_t> bins;  // newest last
+  std::array<std::uint16_t, most_bins> count{};
+  std::array<std::uint16_t, most_bins> reference{};  // as at the last build
+  int reference_total = 0;
+  std::array<float, most_bins> row{};  // F(b), the table's row, as at the last build
+  void take(int bin, int length);
+  bool changed() const;  // Kolmogorov-Smirnov against the reference
+};
+
+struct Server {
+  Line line;
+  bool known = true;  // on the list as it stands
+  micros told_off = -1;
+  Window window;
+  std::vector<micros> out;  // when our postings in flight were sent
+  int unchosen = 0;         // calls since it was last chosen
+  int wait_factor = 1;      // trials that went wrong stretch the time to the next
+  int failures = 0;         // in a row
+  bool on_trial = false;
+  bool probing = false;
+  Fading latency, samples, crowd, sent;
+  double cold_credit = 0;
+  micros credit_at = 0;
+  Report report;
+};
+
+struct Posting {
+  Server* server = nullptr;
+  micros sent = 0;
+  int beside = 0;  // our others in flight there when it was sent
+  bool trial = false;
+  bool ended = false;
+  bool never_ran = false;
+};
+
+struct Txn {
+  int scheme = 0;
+  int tenant = -1;
+  micros taken = 0;
+  micros expiry = 0;
+  micros sla = 0;  // the moment it ends
+  double cost = 1;
+  bool in_share = true;
+  bool repeat = false;
+  bool streaming = false;  // its answer has begun: the client's, without expiry
+  bool answered = false;
+  std::vector<Posting> postings;
+};
+
+enum class list_call { none, watch };
+
+struct Decisions {
+  struct Send {
+    std::string txn, server;
+    micros wait = 0;  // 0: until the client gives up
+  };
+  struct Final {
+    std::string txn;
+    bool declined = true;  // otherwise reversed
+    micros come_back = 0;
+  };
+  struct Withdrawal {
+    std::string txn;
+    int posting = 0;
+  };
+  std::vector<Final> finals;
+  std::vector<Withdrawal> withdrawals;
+  std::vector<Send> sends;
+  std::vector<std::string> probes;
+  list_call list = list_call::none;
+  micros wake_in = 0;  // 0: no new wake-up
+};
+
+class Balancer {
+ public:
+  Balancer(Terms terms, std::uint32_t seed, micros now);
+
+  Decisions list_told(micros now, const std::vector<Line>& lines, bool whole, bool asked = true);
+  Decisions list_failed(micros now);
+  Decisions txn_taken(micros now, const std::string& id, int scheme, int tenant, micros left, double cost,
+                      bool repeat);
+  Decisions posting_ended(micros now, const std::string& id, int n, ending how, micros lag, bool final,
+                          const Report* report);
+  Decisions stream_begun(micros now, const std::string& id, int n);
+  Decisions client_left(micros now, const std::string& id);
+  Decisions probe_answered(micros now, const std::string& server, bool ok, micros lag, const Report* report);
+  Decisions peer_heard(micros now, int from, const std::string& bytes);
+  Decisions woke(micros now);
+
+  // The state, open so that a test can build it.
+  Terms terms;
+  std::mt19937 chance;
+  std::map<std::string, Server> servers;
+  std::map<std::string, Txn> txns;
+  std::array<std::uint16_t, most_bins> pooled{};
+  std::vector<Fading> tenants;
+  Fading arrivals, repeats_sent, scheme_work, scheme_count;
+  micros now = 0, bin_width = 1, started = 0;
+  int bins = 1;
+
+  // The gates, and what the rules are made of.
+  bool may_post(const Txn& txn, const Server& server) const;
+  bool may_decline(const Txn& txn) const;
+  int bin_of(micros latency) const;
+  void build();
+  double likely(const Server& server, micros left) const;
+  micros foreseen(const Server& server) const;
+  Server* choose(const Txn& txn, micros left, bool& trial);
+  bool cold_allows(Server& server);
+
+ private:
+  using rule = bool (Balancer::*)();
+  Decisions run();
+  bool ask_for_list();
+  bool end_overdue();
+  bool post_next();
+  bool copy_silent();
+  bool give_up();
+  bool probe_unchosen();
+  bool plan_wake();
+  void post(const std::string& id, Txn& txn, Server& server, bool trial);
+  void answer(const std::string& id, Txn& txn);
+  void close(const std::string& id, Txn& txn);
+  void sample(Server& server, bool good, micros latency, bool trial);
+  void seed_window(Server& server);
+  micros time_left(const Txn& txn) const;
+  micros typical() const;
+  double value(const Txn& txn) const;
+  double cold_share(const Server& server) const;
+  int out_now(const Txn& txn) const;
+  bool held(const Txn& txn) const { return !txn.answered && out_now(txn) == 0; }
+
+  Decisions todo_;
+  Fading all_latency_, all_samples_;
+  micros next_ask_ = 0, ask_wait_ = 0, wake_at_ = 0, last_told_ = 0;
+  bool watching_ = false, asked_ = false;
+};
+
+}  // namespace robinpin
--- /dev/null
+++ b/src/choice.cpp
@@ -0,0 +1,592 @@
+// robinpin's decisions, all of them. The front (src/wirehost) turns what happens at one node into calls on
+// one Balancer, and carries out the Decisions each call returns; interface and state:
+// include/robinpin/choice.h. After every input the ordered rules in run() are gone through until none fires.
+// Every posting passes may_post(), every final answer passes answer(): there the four rules are kept.
+#include "robinpin/choice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace robinpin {
+
+namespace {
+
+constexpr int window_length = 50;      // W
+constexpr int trial_after = 50;        // tp
+constexpr double ks_scale = 1.628;     // alpha 0.01
+constexpr double skip_factor = 2.0;    // over this many times the node's mean in flight: skipped
+constexpr int bins_per_sla = 25;       // h: the shortest SLA time in this many bins
+constexpr int pooled_samples = 10;     // a new server's window starts with so many
+constexpr int failures_seen = 2;       // in a row: rebuild without a test
+constexpr double repeats_share = 0.1;  // further postings, of the txns taken
+constexpr double cores_guess = 2;      // calls a server works on side by side, where nothing tells
+constexpr micros second = 1'000'000;
+constexpr micros memory = 5 * second;  // of the fading sums
+constexpr micros pace = 20'000;        // between looks at what is held or out
+
+}  // namespace
+
+double Fading::read(micros now, micros life) const {
+  return sum == 0 ? 0 : sum * std::exp(-double(now - at) / double(life));
+}
+
+void Fading::add(micros now, micros life, double x) {
+  sum = read(now, life) + x;
+  at = now;
+}
+
+void Window::take(int bin, int length) {
+  bins.push_back(std::uint16_t(bin));
+  ++count[std::size_t(bin)];
+  if (int(bins.size()) > length) {
+    --count[bins.front()];
+    bins.pop_front();
+  }
+}
+
+bool Window::changed() const {
+  const double n = double(bins.size()), m = reference_total;
+  if (n == 0) return false;
+  if (m == 0) return true;
+  double a = 0, b = 0, d = 0;
+  for (std::size_t i = 0; i < most_bins; ++i) {
+    a += count[i] / n;
+    b += reference[i] / m;
+    d = std::max(d, std::abs(a - b));
+  }
+  return d > ks_scale * std::sqrt((n + m) / (n * m));
+}
+
+Balancer::Balancer(Terms t, std::uint32_t seed, micros at)
+    : terms(std::move(t)), chance(seed), tenants(terms.allowances.size()), now(at), started(at) {
+  micros shortest = second, longest = second;
+  if (!terms.schemes.empty()) shortest = longest = terms.schemes[0].sla;
+  for (const auto& s : terms.schemes) {
+    shortest = std::min(shortest, s.sla);
+    longest = std::max(longest, s.expiry);
+  }
+  bin_width = std::max<micros>(1, std::max(shortest / bins_per_sla, longest / (most_bins - 2) + 1));
+  bins = int(longest / bin_width) + 2;
+  // Nodes that start in step would crowd the list: the first call comes at a time of the node's own.
+  ask_wait_ = std::max<micros>(second / 2, terms.ask_every / 10);
+  next_ask_ = now + micros(double(terms.ask_every) * 0.4 * (double(chance()) / 4294967296.0));
+}
+
+// ---- the histogram and its table ----
+
+// Bin k holds latencies within half a width of k widths; the last bin holds all overruns.
+int Balancer::bin_of(micros latency) const {
+  return int(std::clamp<micros>((latency + bin_width / 2) / bin_width, 0, bins - 1));
+}
+
+void Balancer::build() {
+  pooled.fill(0);
+  for (auto& [id, s] : servers) {
+    Window& w = s.window;
+    w.reference = w.count;
+    w.reference_total = int(w.bins.size());
+    int sum = 0;
+    for (std::size_t b = 0; b < std::size_t(bins); ++b) {
+      sum += w.count[b];
+      w.row[b] = w.bins.empty() ? 1.0F : float(sum) / float(w.bins.size());
+      pooled[b] = std::uint16_t(pooled[b] + w.count[b]);
+    }
+  }
+}
+
+// A new server starts from what the others' windows hold together.
+void Balancer::seed_window(Server& server) {
+  int total = 0, seen = 0;
+  for (std::size_t b = 0; b + 1 < std::size_t(bins); ++b)
+    total += pooled[b];  // their overruns are not its own
+  server.window.bins.clear();
+  server.window.count.fill(0);
+  if (total == 0) return;
+  int taken = 0;
+  for (int b = 0; b + 1 < bins; ++b) {
+    seen += pooled[std::size_t(b)];
+    for (; taken < pooled_samples && (2 * taken + 1) * total <= 2 * pooled_samples * seen; ++taken)
+      server.window.take(b, window_length);
+  }
+}
+
+micros Balancer::typical() const {
+  const double n = all_samples_.read(now, memory);
+  return n < 0.01 ? bin_width : std::max<micros>(1, micros(all_latency_.read(now, memory) / n));
+}
+
+// How the server's load now compares with its load when its samples were taken, by what this node can see:
+// its own calls in flight, the other nodes taken to do as this one did.
+static double crowding(const Server& s, double mean_beside, int nodes) {
+  const double others = double(nodes - 1) * mean_beside;
+  return (cores_guess * s.line.size + double(s.out.size()) + others) /
+         (cores_guess * s.line.size + mean_beside + others);
+}
+
+// F(b) of the table, read at the time left shortened by the crowding since the samples were taken. A posting
+// that is silent for far longer than calls take counts as an overrun already: a hung server would stay on top
+// otherwise.
+double Balancer::likely(const Server& s, micros left) const {
+  const double n = s.samples.read(now, memory);
+  const double beside = n < 0.01 ? 0 : s.crowd.read(now, memory) / n;
+  const double b = double(left) / crowding(s, beside, terms.nodes) / double(bin_width);
+  const auto bin = std::size_t(std::clamp(b, 0.0, double(bins - 2)));
+  const auto silent =
+      std::count_if(s.out.begin(), s.out.end(), [&](micros t) { return now - t > 4 * typical(); });
+  const double size = std::max<double>(1, double(s.window.bins.size()));
+  return (s.window.bins.empty() ? 1.0 : s.window.row[bin]) * size / (size + 3.0 * double(silent));
+}
+
+// The latency to be expected of one call more.
+micros Balancer::foreseen(const Server& s) const {
+  const double n = s.samples.read(now, memory);
+  const double mean = (s.latency.read(now, memory) + double(typical())) / (n + 1);
+  const double beside = n < 0.01 ? 0 : s.crowd.read(now, memory) / n;
+  const micros oldest = s.out.empty() ? 0 : now - *std::min_element(s.out.begin(), s.out.end());
+  return std::max(micros(mean * crowding(s, beside, terms.nodes)), oldest > 4 * typical() ? oldest : 0);
+}
+
+// Every latency and failure passes here on its way into the window.
+void Balancer::sample(Server& s, bool good, micros latency, bool trial) {
+  const micros usual = typical();
+  if (good) {
+    s.latency.add(now, memory, double(latency));
+    s.samples.add(now, memory, 1);
+    all_latency_.add(now, memory, double(latency));
+    all_samples_.add(now, memory, 1);
+  }
+  s.failures = good ? 0 : s.failures + 1;
+  // A window slides by trials alone too slowly to let a mended server back: a good trial starts it anew.
+  if (trial && good && latency <= 3 * usual) seed_window(s);
+  if (trial) s.wait_factor = good ? 1 : std::min(8, 2 * s.wait_factor);
+  s.window.take(good ? bin_of(latency) : bins - 1, window_length);
+  // Fifty calls hide a few failures from the test: a run of them rebuilds untested, as trials do.
+  if (trial || s.failures >= failures_seen || s.window.changed()) build();
+}
+
+// ---- the gates ----
+
+int Balancer::out_now(const Txn& txn) const {
+  return int(
+      std::count_if(txn.postings.begin(), txn.postings.end(), [](const Posting& p) { return !p.ended; }));
+}
+
+// What a cold server can do at the least, as a share of its full capacity.
+double Balancer::cold_share(const Server& s) const {
+  if (s.line.started <= 0 || terms.cold_for <= 0 || now - s.line.started >= terms.cold_for) return 1;
+  const double age = double(std::max<micros>(0, now - s.line.started)) / double(terms.cold_for);
+  return terms.cold_from + (1 - terms.cold_from) * age;
+}
+
+// A cold server gets credit at the pace at which this node sends to a warm one of its size, times its share
+// of warmth. Credit starts at a random part of a call, so that the nodes' first calls do not come together.
+bool Balancer::cold_allows(Server& s) {
+  const double share = cold_share(s);
+  if (share >= 1) return true;
+  double sent = 0, size = 0;
+  for (const auto& [id, other] : servers)
+    if (other.known && cold_share(other) >= 1) {
+      sent += other.sent.read(now, memory);
+      size += other.line.size;
+    }
+  const double age = std::min(double(now - started), 1e12) / double(memory);
+  const double life = double(memory) / double(second) * std::max(0.05, 1 - std::exp(-age));
+  const double pace_now = size > 0 ? sent / size * s.line.size / life : 0;
+  const double allowed = 0.4 * terms.tip_multiple * share * pace_now;  // calls a second
+  if (s.credit_at < s.line.started || s.credit_at == 0) {
+    s.cold_credit = double(chance()) / 4294967296.0;
+    s.credit_at = now;
+  }
+  s.cold_credit += allowed * double(now - s.credit_at) / double(second);
+  s.cold_credit = std::min(s.cold_credit, 1 + allowed * 0.25 * double(terms.tip_window) / double(second));
+  s.credit_at = now;
+  return s.cold_credit >= 1;
+}
+
+// Every posting passes here, whatever rule asks for it.
+bool Balancer::may_post(const Txn& txn, const Server& s) const {
+  if (txn.answered || txn.streaming || now >= txn.expiry) return false;  // rule 1
+  if (int(txn.postings.size()) >= terms.most_postings) return false;
+  if (!s.known || s.told_off >= 0) return false;             // rule 3, without using the grace
+  if (cold_share(s) < 1 && s.cold_credit < 1) return false;  // rule 4
+  if (out_now(txn) > 0 && !terms.two_at_once) return false;  // rule 2, from here on
+  const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
+  if (row.kind == repeats::repeatable) return true;
+  for (const Posting& p : txn.postings) {
+    if (p.never_ran) continue;
+    if (row.kind == repeats::once_only) return false;
+    if (now - p.sent >= row.memory - 10 * pace) return false;
+    if (row.within == group::zone && p.server->line.zone != s.line.zone) return false;
+    if (row.within == group::cell && p.server->line.cell != s.line.cell) return false;
+  }
+  return true;
+}
+
+// A decline promises that a further try is harmless.
+bool Balancer::may_decline(const Txn& txn) const {
+  const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
+  if (row.kind == repeats::repeatable) return true;
+  if (row.kind == repeats::referenced && row.within == group::all) return true;
+  return std::all_of(txn.postings.begin(), txn.postings.end(), [](const Posting& p) { return p.never_ran; });
+}
+
+// Every final answer of ours passes here.
+void Balancer::answer(const std::string& id, Txn& txn) {
+  if (txn.answered) return;
+  const bool declined = may_decline(txn) && now < txn.expiry;
+  micros back = 0;
+  if (declined && terms.advice_heeded) back = std::min(terms.longest_advice, 2 * typical());
+  todo_.finals.push_back({id, declined, back});
+  close(id, txn);
+}
+
+// Nothing more is owed or sent for the txn; what is still out is called off.
+void Balancer::close(const std::string& id, Txn& txn) {
+  txn.answered = true;
+  for (std::size_t n = 0; n < txn.postings.size(); ++n)
+    if (!txn.postings[n].ended && terms.may_withdraw) todo_.withdrawals.push_back({id, int(n)});
+}
+
+void Balancer::post(const std::string& id, Txn& txn, Server& s, bool trial) {
+  if (!may_post(txn, s)) return;
+  if (cold_share(s) < 1) s.cold_credit -= txn.cost;
+  for (auto& [other_id, other] : servers) ++other.unchosen;
+  s.unchosen = 0;
+  s.on_trial = s.on_trial || trial;
+  s.sent.add(now, memory, txn.cost);
+  if (!txn.postings.empty()) repeats_sent.add(now, memory, 1);
+  // Where two at once are forbidden, silence is left by time-out: half of what is left, while a repeat is
+  // allowed.
+  micros wait = 0;
+  const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
+  if (!terms.two_at_once && row.kind == repeats::repeatable && txn.postings.empty() && trial)
+    wait = std::max(3 * typical(), time_left(txn) / 2);
+  txn.postings.push_back({&s, now, int(s.out.size()), trial, false, false});
+  s.out.push_back(now);
+  todo_.sends.push_back({id, s.line.server, wait});
+}
+
+// ---- the choice ----
+
+// Time left to the SLA time, while it can be met; an answer after it earns nothing.
+micros Balancer::time_left(const Txn& txn) const {
+  const micros to_sla = txn.sla - now, to_expiry = txn.expiry - now;
+  return to_sla > 0 ? std::min(to_sla, to_expiry) : to_expiry;
+}
+
+Server* Balancer::choose(const Txn& txn, micros left, bool& trial) {
+  trial = false;
+  std::vector<std::pair<double, Server*>> ranked;
+  double in_flight = 0, size = 0;
+  const bool first = txn.postings.empty();
+  const bool risky = terms.schemes[std::size_t(txn.scheme)].kind == repeats::once_only;
+  for (auto& [id, s] : servers) {
+    if (!s.known || s.told_off >= 0) continue;
+    in_flight += double(s.out.size());
+    size += s.line.size;
+    cold_allows(s);
+    if (!may_post(txn, s)) continue;
+    const bool used = std::any_of(txn.postings.begin(), txn.postings.end(),
+                                  [&](const Posting& p) { return p.server == &s; });
+    double rank = likely(s, left) - (used ? 1 : 0);
+    if (s.line.zone != terms.zone) rank -= terms.price_crossing;
+    ranked.emplace_back(rank, &s);
+    // Unchosen for tp calls: the next call is its trial, once-only txns excepted.
+    if (first && !risky && !terms.may_probe && !s.on_trial && s.unchosen >= trial_after * s.wait_factor) {
+      trial = true;
+      return &s;
+    }
+  }
+  if (ranked.empty()) return nullptr;
+  const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / std::max(1e-9, size)));
+  const auto crowded = [&](const auto& r) {
+    return double(r.second->out.size()) > mean * r.second->line.size;
+  };
+  if (!std::all_of(ranked.begin(), ranked.end(), crowded)) std::erase_if(ranked, crowded);
+  double best = -2;
+  for (const auto& r : ranked) best = std::max(best, r.first);
+  std::erase_if(ranked, [&](const auto& r) { return r.first < best - 1.0 / window_length; });
+  // Ties at random; of two drawn, the one foreseen to answer sooner, since latency grows with what is sent.
+  Server* a = ranked[chance() % ranked.size()].second;
+  Server* b = ranked[chance() % ranked.size()].second;
+  return foreseen(*b) < foreseen(*a) ? b : a;
+}
+
+// ---- the rules ----
+
+Decisions Balancer::run() {
+  static constexpr std::array<rule, 7> rules = {
+      &Balancer::ask_for_list, &Balancer::end_overdue,    &Balancer::post_next, &Balancer::give_up,
+      &Balancer::copy_silent,  &Balancer::probe_unchosen, &Balancer::plan_wake};
+  for (bool fired = true; fired;) {
+    fired = false;
+    for (rule r : rules) fired = (this->*r)() || fired;
+  }
+  std::erase_if(txns, [&](const auto& e) { return e.second.answered && out_now(e.second) == 0; });
+  return std::exchange(todo_, {});
+}
+
+// The list tells nothing unless asked.
+bool Balancer::ask_for_list() {
+  if (!terms.ask_list || watching_ || asked_ || now < next_ask_) return false;
+  todo_.list = list_call::watch;
+  asked_ = true;
+  return true;
+}
+
+// At the expiry a txn gets its answer, whatever is out.
+bool Balancer::end_overdue() {
+  bool fired = false;
+  for (auto& [id, t] : txns)
+    if (!t.answered && !t.streaming && now >= t.expiry) {
+      answer(id, t);
+      fired = true;
+    }
+  return fired;
+}
+
+// Revenue of a txn against the best of the house.
+double Balancer::value(const Txn& txn) const {
+  double most = 0;
+  for (const auto& s : terms.schemes) most = std::max(most, s.revenue);
+  const double own = most > 0 ? terms.schemes[std::size_t(txn.scheme)].revenue / most : 1;
+  return (txn.in_share ? 1 : terms.beyond_share) * (0.5 + 0.5 * own);
+}
+
+// Held txns go out, the most valuable first, while the server chosen is foreseen to answer well within the
+// SLA time: less room is left to txns of little value, so that they give way first. Inner tiers hold work
+// that is paid for already, and send what they get.
+bool Balancer::post_next() {
+  Txn* next = nullptr;
+  const std::string* id = nullptr;
+  for (auto& [i, t] : txns)
+    if (held(t) &&
+        (!next || value(t) > value(*next) || (value(t) == value(*next) && t.taken < next->taken))) {
+      next = &t;
+      id = &i;
+    }
+  if (!next) return false;
+  bool trial = false;
+  Server* s = choose(*next, time_left(*next), trial);
+  if (!s) return false;
+  const double room = terms.tier > 0 ? 10 : 0.2 + 0.5 * value(*next);
+  if (!trial && double(foreseen(*s)) > room * double(time_left(*next)) && !s->out.empty()) return false;
+  post(*id, *next, *s, trial);
+  return true;
+}
+
+// A held txn that can no longer be answered in time is given up, and told so at once.
+bool Balancer::give_up() {
+  bool fired = false;
+  for (auto& [id, t] : txns) {
+    if (!held(t)) continue;
+    const scheme_row& row = terms.schemes[std::size_t(t.scheme)];
+    const micros patience = std::min(t.sla, t.expiry) - t.taken;
+    const bool spent = int(t.postings.size()) >= terms.most_postings;
+    const bool proven =
+        std::all_of(t.postings.begin(), t.postings.end(), [](const Posting& p) { return p.never_ran; });
+    const bool stuck = !proven && row.kind == repeats::once_only;
+    const bool waited = terms.tier == 0 && now - t.taken > patience / 4 && t.postings.empty();
+    const bool late = t.expiry - now <= 2 * pace || (now >= t.sla && row.late_revenue <= 0);
+    if (!spent && !stuck && !waited && !late) continue;
+    answer(id, t);
+    fired = true;
+  }
+  return fired;
+}
+
+// A repeatable txn whose posting is silent for far longer than calls take gets a second one, where two at
+// once are allowed and the share of further postings is not used up.
+bool Balancer::copy_silent() {
+  if (!terms.two_at_once) return false;
+  bool fired = false;
+  for (auto& [id, t] : txns) {
+    if (t.answered || t.streaming || out_now(t) != 1 || t.postings.size() != 1) continue;
+    if (terms.schemes[std::size_t(t.scheme)].kind == repeats::once_only) continue;
+    const micros silent = now - t.postings[0].sent;
+    if (silent < 4 * typical() || now >= t.sla) continue;
+    if (repeats_sent.read(now, memory) > repeats_share * arrivals.read(now, memory)) continue;
+    bool trial = false;
+    Server* s = choose(t, time_left(t), trial);
+    if (!s || s == t.postings[0].server) continue;
+    post(id, t, *s, false);
+    fired = true;
+  }
+  return fired;
+}
+
+// Where probes are allowed, they are the trials of servers left unchosen for tp calls.
+bool Balancer::probe_unchosen() {
+  if (!terms.may_probe) return false;
+  bool fired = false;
+  for (auto& [id, s] : servers) {
+    if (!s.known || s.told_off >= 0 || s.probing || s.unchosen < trial_after * s.wait_factor) continue;
+    s.probing = true;
+    s.unchosen = 0;
+    todo_.probes.push_back(id);
+    fired = true;
+  }
+  return fired;
+}
+
+bool Balancer::plan_wake() {
+  micros at = 0;
+  if (std::any_of(txns.begin(), txns.end(), [](const auto& t) { return !t.second.answered; }))
+    at = now + pace;
+  if (terms.ask_list && !watching_ && !asked_) at = at > 0 ? std::min(at, next_ask_) : next_ask_;
+  if (at == 0 || (wake_at_ > now && wake_at_ <= at)) return false;
+  wake_at_ = at;
+  todo_.wake_in = std::max<micros>(1, at - now);
+  return false;
+}
+
+// ---- the inputs ----
+
+Decisions Balancer::list_told(micros at, const std::vector<Line>& lines, bool whole, bool asked) {
+  now = at;
+  if (asked && asked_) {
+    watching_ = true;
+    asked_ = false;
+    ask_wait_ = std::max<micros>(second / 2, terms.ask_every / 10);
+  }
+  last_told_ = now;
+  if (whole)
+    for (auto& [id, s] : servers) s.known = false;
+  for (const Line& line : lines) {
+    const auto [it, fresh] = servers.try_emplace(line.server);
+    Server& s = it->second;
+    const bool again = !fresh && line.started > s.line.started;
+    const bool off = line.state != standing::serving;
+    s.line = line;
+    s.line.size = terms.sizes_told && line.size > 0 ? line.size : 1;
+    s.known = true;
+    if (!off) s.told_off = -1;
+    if (off && s.told_off < 0) s.told_off = now;
+    if (fresh || again) {
+      s.failures = 0;
+      s.wait_factor = 1;
+      seed_window(s);
+    }
+  }
+  for (auto& [id, s] : servers)
+    if (!s.known && s.told_off < 0) s.told_off = now;
+  build();
+  return run();
+}
+
+// A failed call is tried again later each time, at a moment of this node's own.
+Decisions Balancer::list_failed(micros at) {
+  now = at;
+  watching_ = asked_ = false;
+  next_ask_ = now + micros(double(ask_wait_) * (0.5 + double(chance()) / 4294967296.0));
+  ask_wait_ = std::min(2 * ask_wait_, std::max<micros>(second, terms.ask_every));
+  return run();
+}
+
+Decisions Balancer::txn_taken(micros at, const std::string& id, int scheme, int tenant, micros left,
+                              double cost, bool repeat) {
+  now = at;
+  Txn t;
+  t.scheme = scheme;
+  t.tenant = tenant;
+  t.taken = now;
+  t.expiry = now + left;
+  const scheme_row& row = terms.schemes[std::size_t(scheme)];
+  t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
+  t.repeat = repeat;
+  if (cost > 0) {  // a hint counts against the mean of the hints
+    scheme_work.add(now, memory, cost);
+    scheme_count.add(now, memory, 1);
+    t.cost = cost * scheme_count.read(now, memory) / scheme_work.read(now, memory);
+  }
+  arrivals.add(now, memory, 1);
+  if (tenant >= 0 && terms.tier == 0) {
+    Fading& f = tenants[std::size_t(tenant)];
+    const double allowed =
+        terms.allowances[std::size_t(tenant)] / terms.nodes * double(memory) / double(second);
+    t.in_share = f.read(now, memory) < allowed;
+    if (t.in_share) f.add(now, memory, 1);
+  }
+  txns.insert_or_assign(id, std::move(t));
+  return run();
+}
+
+Decisions Balancer::posting_ended(micros at, const std::string& id, int n, ending how, micros lag, bool final,
+                                  const Report* report) {
+  now = at;
+  const auto it = txns.find(id);
+  if (it == txns.end() || n < 0 || n >= int(it->second.postings.size())) return run();
+  Txn& t = it->second;
+  Posting& p = t.postings[std::size_t(n)];
+  if (p.ended) return run();
+  Server& s = *p.server;
+  p.ended = true;
+  p.never_ran = how == ending::refused || how == ending::unreachable || how == ending::moot;
+  const auto out = std::find(s.out.begin(), s.out.end(), p.sent);
+  if (out != s.out.end()) s.out.erase(out);
+  if (p.trial) s.on_trial = false;
+  if (report) s.report = *report;
+  // A posting that we called off, or that was never sent, says of its server only how long it was silent.
+  const bool telling = how != ending::moot && (how != ending::withdrawn || lag > 4 * typical());
+  if (telling) {
+    if (how == ending::settled) s.crowd.add(now, memory, double(p.beside));
+    sample(s, how == ending::settled, lag, p.trial);
+  }
+  if (final && !t.answered) close(id, t);
+  return run();
+}
+
+// A stream that has begun is the client's: no expiry runs, and nothing else is sent.
+Decisions Balancer::stream_begun(micros at, const std::string& id, int n) {
+  now = at;
+  if (const auto it = txns.find(id); it != txns.end()) {
+    Txn& t = it->second;
+    t.streaming = true;
+    for (std::size_t i = 0; i < t.postings.size(); ++i)
+      if (int(i) != n && !t.postings[i].ended && terms.may_withdraw)
+        todo_.withdrawals.push_back({id, int(i)});
+  }
+  return run();
+}
+
+Decisions Balancer::client_left(micros at, const std::string& id) {
+  now = at;
+  if (const auto it = txns.find(id); it != txns.end() && !it->second.answered) close(id, it->second);
+  return run();
+}
+
+Decisions Balancer::probe_answered(micros at, const std::string& server, bool ok, micros lag,
+                                   const Report* report) {
+  now = at;
+  if (const auto it = servers.find(server); it != servers.end()) {
+    Server& s = it->second;
+    s.probing = false;
+    if (report) s.report = *report;
+    // A probe does no txn's work: it tells life and death, and its lag only where it is worse than a call's.
+    if (ok && lag <= 3 * typical()) {
+      s.failures = 0;
+      s.wait_factor = 1;
+      seed_window(s);
+    } else {
+      s.failures++;
+      s.wait_factor = std::min(8, 2 * s.wait_factor);
+      s.window.take(bins - 1, window_length);
+    }
+    build();
+  }
+  return run();
+}
+
+Decisions Balancer::peer_heard(micros at, int, const std::string&) {
+  now = at;
+  return run();
+}
+
+Decisions Balancer::woke(micros at) {
+  now = at;
+  if (wake_at_ <= now) wake_at_ = 0;
+  return run();
+}
+
+}  // namespace robinpin
--- /dev/null
+++ b/src/wirehost/host.cpp
@@ -0,0 +1,414 @@
+#include "host.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <string_view>
+#include <utility>
+
+namespace robinpin::wirehost {
+
+namespace {
+
+using value = rapidjson::Value;
+
+[[noreturn]] void wrong(const std::string& what) { throw malformed(what); }
+
+const value* find(const value& object, const char* name) {
+  const auto it = object.FindMember(name);
+  return it == object.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
+}
+
+const value& need(const value& object, const char* name) {
+  const value* v = find(object, name);
+  if (!v) wrong(std::string("field ") + name + " is missing");
+  return *v;
+}
+
+const value& object(const value& v, const char* name) {
+  if (!v.IsObject()) wrong(std::string(name) + " is not an object");
+  return v;
+}
+
+const value& array(const value& v, const char* name) {
+  if (!v.IsArray()) wrong(std::string(name) + " is not an array");
+  return v;
+}
+
+double number(const value& v, const char* name) {
+  if (!v.IsNumber()) wrong(std::string(name) + " is not a number");
+  return v.GetDouble();
+}
+
+double number(const value& o, const char* name, double absent) {
+  const value* v = find(o, name);
+  return v ? number(*v, name) : absent;
+}
+
+int integer(const value& v, const char* name) {
+  const double d = number(v, name);
+  if (d != std::floor(d) || std::abs(d) > 2e9) wrong(std::string(name) + " is not a whole number in range");
+  return int(d);
+}
+
+bool flag(const value& o, const char* name) {
+  const value* v = find(o, name);
+  if (!v) return false;
+  if (!v->IsBool()) wrong(std::string(name) + " is not true or false");
+  return v->GetBool();
+}
+
+std::string text(const value& v, const char* name) {
+  if (!v.IsString()) wrong(std::string(name) + " is not text");
+  return {v.GetString(), v.GetStringLength()};
+}
+
+std::string text(const value& o, const char* name, const char* absent) {
+  const value* v = find(o, name);
+  return v ? text(*v, name) : absent;
+}
+
+// The wire counts in milliseconds with fractions; inside all times are whole microseconds.
+micros time_of(double ms) { return std::llround(ms * 1000); }
+micros time_of(const value& o, const char* name) { return time_of(number(need(o, name), name)); }
+micros time_of(const value& o, const char* name, double absent) { return time_of(number(o, name, absent)); }
+
+ending ending_of(int code) {
+  static constexpr std::array codes = {ending::settled,   ending::error,       ending::refused,
+                                       ending::timed_out, ending::unreachable, ending::reset,
+                                       ending::withdrawn, ending::moot};
+  if (code < 0 || code >= int(codes.size())) wrong("outcome " + std::to_string(code) + " is not known");
+  return codes[std::size_t(code)];
+}
+
+Line line_of(const value& entry) {
+  object(entry, "list entry");
+  Line line;
+  line.server = text(need(entry, "Server"), "Server");
+  line.zone = text(entry, "Dc", "");
+  line.kind = text(entry, "Flavor", "");
+  if (const value* cell = find(entry, "UnitGroup")) line.cell = integer(*cell, "UnitGroup");
+  line.size = number(entry, "Share", 1);
+  line.started = time_of(entry, "ReadyAt", 0);
+  const std::string health = text(need(entry, "Health"), "Health");
+  if (health == "terminating")
+    line.state = standing::draining;
+  else if (health == "terminated")
+    line.state = standing::gone;
+  else if (health != "in_service")
+    wrong("Health " + health + " is not known");
+  return line;
+}
+
+scheme_row scheme_of(const value& s) {
+  object(s, "Schemes entry");
+  scheme_row row;
+  const std::string effect = text(s, "Effect", "safe"), within = text(s, "Group", "all");
+  if (effect == "keyed")
+    row.kind = repeats::referenced;
+  else if (effect == "unsafe")
+    row.kind = repeats::once_only;
+  else if (effect != "safe")
+    wrong("Effect " + effect + " is not known");
+  if (within == "zone")
+    row.within = group::zone;
+  else if (within == "cell")
+    row.within = group::cell;
+  else if (within != "all")
+    wrong("Group " + within + " is not known");
+  row.memory = time_of(s, "Window", 0);
+  row.sla = time_of(s, "SlaTime");
+  row.sla_stretch = number(s, "AimStretch", 0);
+  row.expiry = time_of(s, "Expiry");
+  row.revenue = number(s, "Revenue", 1);
+  row.late_revenue = number(s, "TardyRevenue", 0);
+  return row;
+}
+
+}  // namespace
+
+struct Host::Instance {
+  std::unique_ptr<Balancer> balancer;
+  std::unordered_map<std::string, int> schemes, tenants;
+  std::vector<std::string> stats;
+
+  void boot(const value& e, micros now);
+  bool report(const value& e, Report& out) const;
+};
+
+void Host::Instance::boot(const value& e, micros now) {
+  const value& c = object(need(e, "Config"), "Config");
+  Terms t;
+  for (const value& s : array(need(c, "Schemes"), "Schemes").GetArray()) {
+    t.schemes.push_back(scheme_of(s));
+    schemes[text(need(s, "Name"), "Name")] = int(t.schemes.size()) - 1;
+  }
+  if (const value* list = find(c, "Tenants"))
+    for (const value& s : array(*list, "Tenants").GetArray()) {
+      t.allowances.push_back(number(object(s, "Tenants entry"), "AllowancePerS", 0));
+      tenants[text(need(s, "Name"), "Name")] = int(t.allowances.size()) - 1;
+    }
+  const value nothing(rapidjson::kObjectType);
+  const auto part = [&](const char* name) -> const value& {
+    const value* v = find(c, name);
+    return v ? object(*v, name) : nothing;
+  };
+  const value &allow = part("Permissions"), &rules = part("Guarantees"), &prices = part("Prices");
+  const value &stats_of = part("Stats"), &goal = part("Goal");
+  t.beyond_share = number(c, "BeyondShareRevenue", 1);
+  t.zone = text(c, "Zone", "");
+  if (const value* v = find(c, "Tier")) t.tier = integer(*v, "Tier");
+  if (const value* v = find(c, "PeersTotal")) t.nodes = std::max(1, integer(*v, "PeersTotal"));
+  if (const value* v = find(c, "Stages")) t.tiers = int(array(*v, "Stages").Size());
+  t.by_work = text(c, "RevenueBy", "request") == "work";
+  t.ask_list = text(c, "Discovery", "automatic") == "subscribe";
+  t.told_time_left = flag(part("FamilyInfo"), "PassesDeadline");
+  t.tail_counts = number(goal, "Punctual", 0) > 0;
+  t.sizes_told = text(c, "Weights", "off") == "nominal" || text(c, "Weights", "off") == "rough";
+  t.may_probe = flag(allow, "Probes");
+  t.may_withdraw = flag(allow, "Cancel");
+  t.two_at_once = flag(allow, "SecondCopies");
+  t.advice_heeded = flag(allow, "RetryAfter");
+  t.most_postings = int(number(allow, "MostPostings", 1));
+  t.longest_advice = time_of(allow, "MaxRetryAfter", 0);
+  t.drain_grace = time_of(rules, "DrainGrace", 0);
+  t.ask_every = time_of(rules, "AskEvery", 10000);
+  t.cold_for = time_of(rules, "Cold", 0);
+  t.cold_from = number(rules, "ColdFrom", 1);
+  t.tip_multiple = number(rules, "TipMultiple", 1);
+  t.tip_window = time_of(rules, "OverloadFor", 0);
+  t.price_crossing = number(prices, "CrossZone", 0);
+  t.price_waste = number(prices, "Waste", 0);
+  t.price_probe = number(prices, "Probe", 0);
+  if (const value* names = find(stats_of, "Names"))
+    for (const value& n : array(*names, "Stats.Names").GetArray()) stats.push_back(text(n, "Stats.Names"));
+  const value& salt = need(e, "Salt");
+  if (!salt.IsUint64() && !salt.IsInt64()) wrong("Salt is not a whole number");
+  const std::uint64_t seed = salt.IsUint64() ? salt.GetUint64() : std::uint64_t(salt.GetInt64());
+  balancer = std::make_unique<Balancer>(std::move(t), std::uint32_t(seed ^ (seed >> 32)), now);
+}
+
+bool Host::Instance::report(const value& e, Report& out) const {
+  const value* row = find(e, "Feedback");
+  if (!row) return false;
+  array(*row, "Feedback");
+  for (rapidjson::SizeType i = 0; i < row->Size() && i < stats.size(); ++i) {
+    if ((*row)[i].IsNull()) continue;
+    const double v = number((*row)[i], "Feedback");
+    if (stats[i] == "pending")
+      out.waiting = v;
+    else if (stats[i] == "busy_reqs")
+      out.in_work = v;
+    else if (stats[i] == "cpu_share")
+      out.busy = v;
+    else if (stats[i] == "svc_ms")
+      out.service = time_of(v);
+  }
+  return true;
+}
+
+// One batch: its events in order, and the reply as it grows.
+class Host::Batch {
+ public:
+  Batch(Host& host, const value& batch, double seq) : host_(host), out_(buffer_) {
+    now_ = time_of(batch, "Now");
+    out_.StartObject();
+    out_.Key("seq");
+    out_.Int64(std::int64_t(seq));
+    out_.Key("do");
+    out_.StartArray();
+    for (const value& happened : array(need(batch, "happened"), "happened").GetArray()) {
+      if (!happened.IsObject() || happened.MemberCount() != 1)
+        wrong("an event is not an object with one key");
+      const auto& event = *happened.MemberBegin();
+      name_ = {event.name.GetString(), event.name.GetStringLength()};
+      pass(object(event.value, name_.c_str()));
+    }
+    out_.EndArray();
+    out_.EndObject();
+  }
+
+  std::string text() const { return {buffer_.GetString(), buffer_.GetSize()}; }
+
+ private:
+  void pass(const value& e);
+  void boot(const value& e);
+  void sync(Instance& in, const value& e);
+  void taken(Instance& in, const value& e);
+  void ended(Instance& in, const value& e);
+  void peer(Instance& in, const value& e);
+  Decisions call(Instance& in, const value& e);
+  void write(const Decisions& d);
+  void list(const value& e);
+
+  template <typename Fields>
+  void action(const char* name, Fields fields) {
+    out_.StartObject();
+    out_.Key(name);
+    out_.StartObject();
+    out_.Key("I");
+    out_.Int(instance_);
+    fields();
+    out_.EndObject();
+    out_.EndObject();
+  }
+  void put(const char* key, const std::string& s) {
+    out_.Key(key);
+    out_.String(s.data(), rapidjson::SizeType(s.size()));
+  }
+  void put(const char* key, micros t) {
+    char digits[32];
+    const int n = std::snprintf(digits, sizeof digits, "%lld.%03lld", static_cast<long long>(t / 1000),
+                                static_cast<long long>(t % 1000));
+    out_.Key(key);
+    out_.RawValue(digits, std::size_t(n), rapidjson::kNumberType);
+  }
+
+  Host& host_;
+  rapidjson::StringBuffer buffer_;
+  rapidjson::Writer<rapidjson::StringBuffer> out_;
+  micros now_ = 0;
+  int instance_ = 0;
+  std::string name_;
+};
+
+void Host::Batch::list(const value& e) {
+  const int id = integer(need(e, "RosterId"), "RosterId");
+  if (id < 0 || id >= int(host_.lists_.size())) wrong("RosterId is out of range");
+  auto& lines = host_.lists_[std::size_t(id)];
+  lines.clear();
+  for (const value& entry : array(need(e, "Lines"), "Lines").GetArray()) lines.push_back(line_of(entry));
+}
+
+void Host::Batch::pass(const value& e) {
+  if (name_ == "Catalog") return list(e);
+  instance_ = integer(need(e, "I"), "I");
+  if (name_ == "Boot") {
+    auto in = std::make_unique<Instance>();
+    in->boot(e, now_);
+    host_.instances_[instance_] = std::move(in);
+    return;
+  }
+  const auto it = host_.instances_.find(instance_);
+  if (it == host_.instances_.end()) wrong(name_ + " for an instance that has not started");
+  if (name_ == "Kill") {
+    host_.instances_.erase(it);
+    return;
+  }
+  try {
+    write(call(*it->second, e));
+  } catch (const malformed&) {
+    throw;
+  } catch (const std::exception& failure) {
+    action("Exception", [&] { put("Words", std::string(failure.what())); });
+  }
+}
+
+Decisions Host::Batch::call(Instance& in, const value& e) {
+  Balancer& b = *in.balancer;
+  const auto ticket = [&] { return robinpin::wirehost::text(need(e, "Ticket"), "Ticket"); };
+  const auto server = [&] { return robinpin::wirehost::text(need(e, "Server"), "Server"); };
+  Report r;
+  if (name_ == "ClosedAttempt") {
+    const bool reported = in.report(e, r);
+    const ending how = ending_of(integer(need(e, "Rc"), "Rc"));
+    const std::string named = server();
+    if (named.empty()) wrong("Server is empty");
+    return b.posting_ended(now_, ticket(), integer(need(e, "N"), "N"), how, time_of(e, "Lag"),
+                           flag(e, "Final"), reported ? &r : nullptr);
+  }
+  if (name_ == "Req") {
+    const std::string scheme = robinpin::wirehost::text(need(e, "Service"), "Service");
+    const auto known = in.schemes.find(scheme);
+    if (known == in.schemes.end()) wrong("scheme " + scheme + " is not in the settings");
+    int tenant = -1;
+    if (const value* t = find(e, "UserGroup"); t && t->IsString()) {
+      const auto of = in.tenants.find(t->GetString());
+      if (of != in.tenants.end()) tenant = of->second;
+    }
+    const int marks = find(e, "Marks") ? integer(*find(e, "Marks"), "Marks") : 0;
+    const double cost = (marks & 1) != 0 ? number(e, "Predicted", 0) * 1000 : 0;
+    return b.txn_taken(now_, ticket(), known->second, tenant, time_of(e, "Grace"), cost, (marks & 2) != 0);
+  }
+  if (name_ == "Wakeup") {
+    robinpin::wirehost::text(need(e, "Token"), "Token");
+    return b.woke(now_);
+  }
+  if (name_ == "Aborted") return b.client_left(now_, ticket());
+  if (name_ == "UnderWay") return b.stream_begun(now_, ticket(), integer(need(e, "N"), "N"));
+  if (name_ == "Sampled") {
+    const bool ok = integer(need(e, "Rc"), "Rc") == 0, reported = in.report(e, r);
+    return b.probe_answered(now_, server(), ok, time_of(e, "Lag"), reported ? &r : nullptr);
+  }
+  if (name_ == "Peer") {
+    const std::string raw = robinpin::wirehost::text(need(e, "Raw"), "Raw");
+    return b.peer_heard(now_, integer(need(e, "SrcPeer"), "SrcPeer"), raw);
+  }
+  if (name_ == "Sync") {
+    const std::string form = robinpin::wirehost::text(need(e, "Form"), "Form");
+    if (form == "broken") return b.list_failed(now_);
+    if (form != "patch" && form != "whole" && form != "stale_copy") wrong("Form " + form + " is not known");
+    const int id = integer(need(e, "RosterId"), "RosterId");
+    if (id < 0 || id >= int(host_.lists_.size())) wrong("RosterId is out of range");
+    return b.list_told(now_, host_.lists_[std::size_t(id)], form != "patch", form != "stale_copy");
+  }
+  wrong("event " + name_ + " is not known");
+}
+
+void Host::Batch::write(const Decisions& d) {
+  for (const auto& f : d.finals)
+    action(f.declined ? "Reject" : "DropRequest", [&] {
+      put("Ticket", f.txn);
+      if (f.declined && f.come_back > 0) put("RetryIn", f.come_back);
+    });
+  for (const auto& w : d.withdrawals)
+    action("Revoke", [&] {
+      put("Ticket", w.txn);
+      out_.Key("N");
+      out_.Int(w.posting);
+    });
+  for (const auto& s : d.sends)
+    action("Attempt", [&] {
+      put("Ticket", s.txn);
+      put("Server", s.server);
+      if (s.wait > 0) put("MaxWait", s.wait);
+    });
+  for (const auto& p : d.probes) action("SoundOut", [&] { put("Server", p); });
+  if (d.list == list_call::watch)
+    action("Subscribe", [&] {
+      out_.Key("Enable");
+      out_.Bool(true);
+    });
+  if (d.wake_in > 0)
+    action("Timer", [&] {
+      put("FromNow", d.wake_in);
+      put("Token", std::string("look"));
+    });
+}
+
+Host::Host() = default;
+Host::~Host() = default;
+
+std::string Host::reply(std::string line) {
+  rapidjson::Document batch;
+  batch.ParseInsitu<rapidjson::kParseFullPrecisionFlag>(line.data());
+  if (batch.HasParseError())
+    throw malformed(std::string("batch of unknown seq: not JSON: ") +
+                    GetParseError_En(batch.GetParseError()));
+  if (!batch.IsObject()) throw malformed("batch of unknown seq: not an object");
+  const value* seq = find(batch, "seq");
+  if (!seq || !seq->IsInt64())
+    throw malformed("batch of unknown seq: field seq is missing or not a whole number");
+  try {
+    return Batch(*this, batch, double(seq->GetInt64())).text();
+  } catch (const malformed& what) {
+    throw malformed("batch seq " + std::to_string(seq->GetInt64()) + ": " + what.what());
+  }
+}
+
+}  // namespace robinpin::wirehost
--- /dev/null
+++ b/src/wirehost/host.h
@@ -0,0 +1,37 @@
+// The wire of the bench: decodes a batch into calls on the instances it hosts and encodes what they return.
+// It decides nothing.
+#pragma once
+
+#include <array>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "robinpin/choice.h"
+
+namespace robinpin::wirehost {
+
+struct malformed : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Host {
+ public:
+  Host();
+  ~Host();
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+
+  // The reply to one line; throws malformed, naming the batch, if the line is not as the wire has it.
+  std::string reply(std::string line);
+
+ private:
+  struct Instance;
+  class Batch;
+  std::unordered_map<int, std::unique_ptr<Instance>> instances_;
+  std::array<std::vector<Line>, 16> lists_;
+};
+
+}  // namespace robinpin::wirehost
--- /dev/null
+++ b/tests/choice_test.cpp
@@ -0,0 +1,110 @@
+#include "help.h"
+
+using namespace robinpin;
+using namespace robinpin::help;
+
+TEST_CASE("a bin holds latencies within half a width of its middle, the last all overruns") {
+  Balancer b = node({});
+  const auto [at, latency, bin] =
+      GENERATE(table<int, micros, int>({{0, 0, 0}, {0, -1, 0}, {1, 1, 1}, {9, 9, 9}}));
+  CHECK(b.bin_of(latency * b.bin_width) == bin);
+  CHECK(b.bin_of(b.bin_width / 2 - 1) == 0);
+  CHECK(b.bin_of(b.bin_width / 2) == 1);
+  CHECK(b.bin_of(3600 * 1000 * ms) == b.bins - 1);
+}
+
+TEST_CASE("a window slides: the oldest sample leaves") {
+  Window w;
+  for (int i = 0; i < 51; ++i) w.take(i == 0 ? 3 : 5, 50);
+  CHECK(w.count[3] == 0);
+  CHECK(w.count[5] == 50);
+  CHECK(w.bins.size() == 50);
+}
+
+TEST_CASE("a change is seen in full windows, not in a few samples") {
+  Window w;
+  w.reference[2] = 50;
+  w.reference_total = 50;
+  const auto [samples, seen] =
+      GENERATE(table<int, bool>({{0, false}, {1, false}, {2, false}, {3, true}, {50, true}}));
+  for (int i = 0; i < samples; ++i) w.take(200, 50);
+  CHECK(w.changed() == seen);
+}
+
+TEST_CASE("the same distribution is no change") {
+  Window w;
+  w.reference[2] = w.reference[3] = 25;
+  w.reference_total = 50;
+  for (int i = 0; i < 50; ++i) w.take(2 + i % 2, 50);
+  CHECK_FALSE(w.changed());
+}
+
+TEST_CASE("the server likeliest to answer in the time left is chosen") {
+  Balancer b = node({"quick", "slow"});
+  fill(b, "quick", 100 * ms);
+  fill(b, "slow", 400 * ms);
+  b.build();
+  bool trial = false;
+  CHECK(b.choose(txn(0), 200 * ms, trial)->line.server == "quick");
+  CHECK_FALSE(trial);
+}
+
+TEST_CASE("ties, empty windows among them, break at random") {
+  Balancer b = node({"a", "b"});
+  b.build();
+  int first = 0;
+  bool trial = false;
+  for (int i = 0; i < 200; ++i) first += b.choose(txn(0), 200 * ms, trial)->line.server == "a";
+  CHECK(first > 50);
+  CHECK(first < 150);
+}
+
+TEST_CASE("a server with over twice the mean in flight is skipped") {
+  Balancer b = node({"a", "b", "c", "d"});
+  b.servers["a"].out.assign(9, noon);
+  for (const char* other : {"b", "c", "d"}) fill(b, other, 400 * ms);
+  b.build();
+  bool trial = false;
+  CHECK(b.choose(txn(0), 200 * ms, trial)->line.server != "a");
+}
+
+TEST_CASE("a server unchosen for fifty calls gets the next one, but never a once-only txn") {
+  const auto [unchosen, scheme, on_trial] =
+      GENERATE(table<int, int, bool>({{49, 0, false}, {50, 0, true}, {50, 2, false}}));
+  Balancer b = node({"good", "left"});
+  fill(b, "good", 50 * ms);
+  fill(b, "left", 1100 * ms);
+  b.build();
+  b.servers["left"].unchosen = unchosen;
+  bool trial = false;
+  CHECK((b.choose(txn(scheme), 500 * ms, trial)->line.server == "left") == on_trial);
+  CHECK(trial == on_trial);
+}
+
+TEST_CASE("a new server starts from what the others' windows hold") {
+  Balancer b = node({"old"});
+  fill(b, "old", 100 * ms);
+  b.build();
+  b.list_told(noon, {line("new")}, false);
+  CHECK(b.servers["new"].window.count[std::size_t(b.bin_of(100 * ms))] == 10);
+}
+
+TEST_CASE("two failures in a row rebuild the table without waiting for the test") {
+  Balancer b = node({"a"});
+  fill(b, "a", 100 * ms);
+  b.build();
+  b.servers["a"].failures = 1;
+  Txn t = txn(0);
+  t.postings = {posted(b, "a")};
+  b.txns["t"] = t;
+  b.posting_ended(noon + 9 * ms, "t", 0, ending::error, 9 * ms, false, nullptr);
+  CHECK(b.servers["a"].window.row[std::size_t(b.bins - 2)] < 1);
+}
+
+TEST_CASE("a silent posting counts against its server before its time-out lands") {
+  Balancer b = node({"a"});
+  fill(b, "a", 10 * ms);
+  b.build();
+  b.servers["a"].out = {noon - 900 * ms};
+  CHECK(b.likely(b.servers["a"], 400 * ms) < 0.97);
+}
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
