--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -222,12 +222,15 @@
   micros time_left(const Txn& txn) const;
   micros typical() const;
   double value(const Txn& txn) const;
+  bool roomy(const Server& server, double worth) const;
   double cold_share(const Server& server) const;
   int out_now(const Txn& txn) const;
   bool held(const Txn& txn) const { return !txn.answered && out_now(txn) == 0; }
 
   Decisions todo_;
   Fading all_latency_, all_samples_;
+  double calm_ = 0;  // the lowest mean latency seen of late
+  micros calm_at_ = 0;
   micros next_ask_ = 0, ask_wait_ = 0, wake_at_ = 0, last_told_ = 0;
   bool watching_ = false, asked_ = false;
 };
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -21,9 +21,11 @@
 constexpr int failures_seen = 2;       // in a row: rebuild without a test
 constexpr double repeats_share = 0.1;  // further postings, of the txns taken
 constexpr double cores_guess = 2;      // calls a server works on side by side, where nothing tells
+constexpr double room_factor = 1.2;    // room beyond what a calm server has in flight, by a txn's value
 constexpr micros second = 1'000'000;
 constexpr micros memory = 5 * second;  // of the fading sums
-constexpr micros pace = 20'000;        // between looks at what is held or out
+constexpr micros calm_memory = 60 * second;
+constexpr micros pace = 20'000;  // between looks at what is held or out
 
 }  // namespace
 
@@ -155,6 +157,10 @@
     s.samples.add(now, memory, 1);
     all_latency_.add(now, memory, double(latency));
     all_samples_.add(now, memory, 1);
+    const double faded = calm_ * (1 + double(now - calm_at_) / double(calm_memory));
+    if (all_samples_.read(now, memory) >= 5)
+      calm_ = calm_ > 0 ? std::min(faded, double(usual)) : double(usual);
+    calm_at_ = now;
   }
   s.failures = good ? 0 : s.failures + 1;
   // A window slides by trials alone too slowly to let a mended server back: a good trial starts it anew.
@@ -172,6 +178,18 @@
       std::count_if(txn.postings.begin(), txn.postings.end(), [](const Posting& p) { return !p.ended; }));
 }
 
+// Whether a server has room for one call more. What answers at its calm pace has (settled a second) x (calm
+// latency) calls in flight; far more than that only wait, and a server kept crowded turns slow and stays so.
+// Txns of little value find less room, so that they give way first. Inner tiers send what they get: it is
+// paid for already.
+bool Balancer::roomy(const Server& s, double worth) const {
+  if (terms.tier > 0) return true;
+  const double pace_now = s.samples.read(now, memory) / double(memory);
+  const double floor = cores_guess * s.line.size / terms.nodes;
+  return double(s.out.size()) <
+         std::max(1.0, floor * (0.5 + worth) + (1 + room_factor * worth) * pace_now * calm_);
+}
+
 // What a cold server can do at the least, as a share of its full capacity.
 double Balancer::cold_share(const Server& s) const {
   if (s.line.started <= 0 || terms.cold_for <= 0 || now - s.line.started >= terms.cold_for) return 1;
@@ -279,6 +297,7 @@
   trial = false;
   std::vector<std::pair<double, Server*>> ranked;
   double in_flight = 0, size = 0;
+  const double worth = value(txn);
   const bool first = txn.postings.empty();
   const bool risky = terms.schemes[std::size_t(txn.scheme)].kind == repeats::once_only;
   for (auto& [id, s] : servers) {
@@ -286,7 +305,7 @@
     in_flight += double(s.out.size());
     size += s.line.size;
     cold_allows(s);
-    if (!may_post(txn, s)) continue;
+    if (!may_post(txn, s) || !roomy(s, worth)) continue;
     const bool used = std::any_of(txn.postings.begin(), txn.postings.end(),
                                   [&](const Posting& p) { return p.server == &s; });
     double rank = likely(s, left) - (used ? 1 : 0);
