--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -59,6 +59,7 @@
   double price_crossing = 0;
   double price_waste = 0;
   double price_probe = 0;
+  double price_late = 0;
 };
 
 enum class standing { serving, draining, gone };
@@ -209,6 +210,7 @@
   Decisions run();
   bool ask_for_list();
   bool end_overdue();
+  bool call_off_late();
   bool post_next();
   bool copy_silent();
   bool give_up();
@@ -231,6 +233,7 @@
   Fading all_latency_, all_samples_;
   double calm_ = 0;  // the lowest mean latency seen of late
   micros calm_at_ = 0;
+  micros short_of_room_ = -(micros(1) << 60);
   micros next_ask_ = 0, ask_wait_ = 0, wake_at_ = 0, last_told_ = 0;
   bool watching_ = false, asked_ = false;
 };
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -24,6 +24,7 @@
 constexpr double room_factor = 1.2;    // room beyond what a calm server has in flight, by a txn's value
 constexpr micros second = 1'000'000;
 constexpr micros memory = 5 * second;  // of the fading sums
+constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr micros calm_memory = 60 * second;
 constexpr micros pace = 20'000;  // between looks at what is held or out
 
@@ -335,8 +336,8 @@
 // ---- the rules ----
 
 Decisions Balancer::run() {
-  static constexpr std::array<rule, 7> rules = {
-      &Balancer::ask_for_list, &Balancer::end_overdue,    &Balancer::post_next, &Balancer::give_up,
+  static constexpr std::array<rule, 8> rules = {
+      &Balancer::ask_for_list, &Balancer::end_overdue, &Balancer::call_off_late,    &Balancer::post_next, &Balancer::give_up,
       &Balancer::copy_silent,  &Balancer::probe_unchosen, &Balancer::plan_wake};
   for (bool fired = true; fired;) {
     fired = false;
@@ -365,6 +366,21 @@
   return fired;
 }
 
+// While txns wait for room, one that can no longer earn is called off, where that costs little: its work is better
+// spent on those that can. A crowded fleet would answer late and nothing else.
+bool Balancer::call_off_late() {
+  if (terms.tier > 0 || !terms.may_withdraw || terms.price_waste + terms.price_late > call_off_price) return false;
+  if (now - short_of_room_ > second) return false;
+  bool fired = false;
+  for (auto& [id, t] : txns) {
+    if (t.answered || t.streaming || now < t.sla || !may_decline(t)) continue;
+    if (terms.schemes[std::size_t(t.scheme)].late_revenue > 0) continue;
+    answer(id, t);
+    fired = true;
+  }
+  return fired;
+}
+
 // Revenue of a txn against the best of the house.
 double Balancer::value(const Txn& txn) const {
   double most = 0;
@@ -388,7 +404,10 @@
   if (!next) return false;
   bool trial = false;
   Server* s = choose(*next, time_left(*next), trial);
-  if (!s) return false;
+  if (!s) {
+    short_of_room_ = now;
+    return false;
+  }
   const double room = terms.tier > 0 ? 10 : 0.2 + 0.5 * value(*next);
   if (!trial && double(foreseen(*s)) > room * double(time_left(*next)) && !s->out.empty()) return false;
   post(*id, *next, *s, trial);
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -184,6 +184,7 @@
   t.tip_window = time_of(rules, "OverloadFor", 0);
   t.price_crossing = number(prices, "CrossZone", 0);
   t.price_waste = number(prices, "Waste", 0);
+  t.price_late = number(prices, "LateFail", 0);
   t.price_probe = number(prices, "Probe", 0);
   if (const value* names = find(stats_of, "Names"))
     for (const value& n : array(*names, "Stats.Names").GetArray()) stats.push_back(text(n, "Stats.Names"));
