--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -21,7 +21,7 @@
 constexpr int failures_seen = 2;       // in a row: rebuild without a test
 constexpr double repeats_share = 0.1;  // further postings, of the txns taken
 constexpr double cores_guess = 2;      // calls a server works on side by side, where nothing tells
-constexpr double room_factor = 1.2;    // room beyond what a calm server has in flight, by a txn's value
+constexpr double room_factor = 1.6;    // room beyond what a calm server has in flight, by a txn's value
 constexpr micros second = 1'000'000;
 constexpr micros memory = 5 * second;  // of the fading sums
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
@@ -383,6 +383,7 @@
 
 // Revenue of a txn against the best of the house.
 double Balancer::value(const Txn& txn) const {
+  if (terms.tier == 0 && now >= txn.sla && terms.schemes[std::size_t(txn.scheme)].late_revenue <= 0) return 0;
   double most = 0;
   for (const auto& s : terms.schemes) most = std::max(most, s.revenue);
   const double own = most > 0 ? terms.schemes[std::size_t(txn.scheme)].revenue / most : 1;
@@ -532,6 +533,11 @@
   t.expiry = now + left;
   const scheme_row& row = terms.schemes[std::size_t(scheme)];
   t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
+  // Clients wait a part of the expiry for one try, but no longer than the expiry for all: a shorter wait than the
+  // longest known part is what earlier tries have left, and the SLA time ran from the first.
+  const double part = double(left) / double(std::max<micros>(1, row.expiry));
+  longest_part_ = std::max(longest_part_, std::min(1.0, part));
+  if (terms.tier == 0 && part < 0.98 * longest_part_) t.sla -= row.expiry - left;
   t.repeat = repeat;
   if (cost > 0) {  // a hint counts against the mean of the hints
     scheme_work.add(now, memory, cost);
