The longest wait of a try is kept by scheme

Cause: first tries of one scheme wait a smaller part of their expiry than those of another, so that all of view-calendar was taken for late repeats.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -233,7 +233,7 @@
   Fading all_latency_, all_samples_;
   double calm_ = 0;  // the lowest mean latency seen of late
   micros calm_at_ = 0;
-  double longest_part_ = 0;  // of its scheme's expiry that a client waited for one try
+  std::vector<micros> longest_wait_;  // by scheme: what a client's try had at the most
   micros short_of_room_ = -(micros(1) << 60);
   micros next_ask_ = 0, ask_wait_ = 0, wake_at_ = 0, last_told_ = 0;
   bool watching_ = false, asked_ = false;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -21,9 +21,9 @@
 constexpr int failures_seen = 2;       // in a row: rebuild without a test
 constexpr double repeats_share = 0.1;  // further postings, of the txns taken
 constexpr double cores_guess = 2;      // calls a server works on side by side, where nothing tells
-constexpr double room_factor = 1.6;    // room beyond what a calm server has in flight, by a txn's value
+constexpr double room_factor = 1.2;    // room beyond what a calm server has in flight, by a txn's value
 constexpr micros second = 1'000'000;
-constexpr micros memory = 5 * second;  // of the fading sums
+constexpr micros memory = 5 * second;   // of the fading sums
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr micros calm_memory = 60 * second;
 constexpr micros pace = 20'000;  // between looks at what is held or out
@@ -62,7 +62,12 @@
 }
 
 Balancer::Balancer(Terms t, std::uint32_t seed, micros at)
-    : terms(std::move(t)), chance(seed), tenants(terms.allowances.size()), now(at), started(at) {
+    : terms(std::move(t)),
+      chance(seed),
+      tenants(terms.allowances.size()),
+      now(at),
+      started(at),
+      longest_wait_(terms.schemes.size()) {
   micros shortest = second, longest = second;
   if (!terms.schemes.empty()) shortest = longest = terms.schemes[0].sla;
   for (const auto& s : terms.schemes) {
@@ -337,8 +342,8 @@
 
 Decisions Balancer::run() {
   static constexpr std::array<rule, 8> rules = {
-      &Balancer::ask_for_list, &Balancer::end_overdue, &Balancer::call_off_late,    &Balancer::post_next, &Balancer::give_up,
-      &Balancer::copy_silent,  &Balancer::probe_unchosen, &Balancer::plan_wake};
+      &Balancer::ask_for_list, &Balancer::end_overdue, &Balancer::call_off_late,  &Balancer::post_next,
+      &Balancer::give_up,      &Balancer::copy_silent, &Balancer::probe_unchosen, &Balancer::plan_wake};
   for (bool fired = true; fired;) {
     fired = false;
     for (rule r : rules) fired = (this->*r)() || fired;
@@ -366,10 +371,11 @@
   return fired;
 }
 
-// While txns wait for room, one that can no longer earn is called off, where that costs little: its work is better
-// spent on those that can. A crowded fleet would answer late and nothing else.
+// While txns wait for room, one that can no longer earn is called off, where that costs little: its work is
+// better spent on those that can. A crowded fleet would answer late and nothing else.
 bool Balancer::call_off_late() {
-  if (terms.tier > 0 || !terms.may_withdraw || terms.price_waste + terms.price_late > call_off_price) return false;
+  if (terms.tier > 0 || !terms.may_withdraw || terms.price_waste + terms.price_late > call_off_price)
+    return false;
   if (now - short_of_room_ > second) return false;
   bool fired = false;
   for (auto& [id, t] : txns) {
@@ -533,11 +539,11 @@
   t.expiry = now + left;
   const scheme_row& row = terms.schemes[std::size_t(scheme)];
   t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
-  // Clients wait a part of the expiry for one try, but no longer than the expiry for all: a shorter wait than the
-  // longest known part is what earlier tries have left, and the SLA time ran from the first.
-  const double part = double(left) / double(std::max<micros>(1, row.expiry));
-  longest_part_ = std::max(longest_part_, std::min(1.0, part));
-  if (terms.tier == 0 && part < 0.98 * longest_part_) t.sla -= row.expiry - left;
+  // Clients wait a part of the expiry for one try, but no longer than the expiry for all: a shorter wait than
+  // the longest known part is what earlier tries have left, and the SLA time ran from the first.
+  micros& longest = longest_wait_[std::size_t(scheme)];
+  longest = std::max(longest, std::min(left, row.expiry));
+  if (terms.tier == 0 && double(left) < 0.98 * double(longest)) t.sla -= row.expiry - left;
   t.repeat = repeat;
   if (cost > 0) {  // a hint counts against the mean of the hints
     scheme_work.add(now, memory, cost);
