--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -114,6 +114,7 @@
   int wait_factor = 1;      // trials that went wrong stretch the time to the next
   int failures = 0;         // in a row
   bool on_trial = false;
+  bool erring = false;  // its last txn ended in an error
   bool probing = false;
   Fading latency, samples, crowd, sent;
   double cold_credit = 0;
@@ -231,9 +232,9 @@
 
   Decisions todo_;
   Fading all_latency_, all_samples_;
-  double calm_ = 0;  // the lowest mean latency seen of late
-  micros calm_at_ = 0;
   std::vector<micros> longest_wait_;  // by scheme: what a client's try had at the most
+  double calm_ = 0;                   // the lowest mean latency seen of late
+  micros calm_at_ = 0;
   micros short_of_room_ = -(micros(1) << 60);
   micros next_ask_ = 0, ask_wait_ = 0, wake_at_ = 0, last_told_ = 0;
   bool watching_ = false, asked_ = false;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -26,6 +26,7 @@
 constexpr micros second = 1'000'000;
 constexpr micros memory = 5 * second;   // of the fading sums
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
+constexpr double calm_samples = 5;      // the mean of fewer is no measure of calm
 constexpr micros calm_memory = 60 * second;
 constexpr micros pace = 20'000;  // between looks at what is held or out
 
@@ -164,9 +165,9 @@
     s.samples.add(now, memory, 1);
     all_latency_.add(now, memory, double(latency));
     all_samples_.add(now, memory, 1);
-    const double faded = calm_ * (1 + double(now - calm_at_) / double(calm_memory));
-    if (all_samples_.read(now, memory) >= 5)
-      calm_ = calm_ > 0 ? std::min(faded, double(usual)) : double(usual);
+    const double risen = calm_ * (1 + double(now - calm_at_) / double(calm_memory));
+    if (all_samples_.read(now, memory) >= calm_samples)
+      calm_ = calm_ > 0 ? std::min(risen, double(usual)) : double(usual);
     calm_at_ = now;
   }
   s.failures = good ? 0 : s.failures + 1;
@@ -302,7 +303,7 @@
 
 Server* Balancer::choose(const Txn& txn, micros left, bool& trial) {
   trial = false;
-  std::vector<std::pair<double, Server*>> ranked;
+  std::vector<std::pair<double, Server*>> all, ranked;
   double in_flight = 0, size = 0;
   const double worth = value(txn);
   const bool first = txn.postings.empty();
@@ -312,14 +313,17 @@
     in_flight += double(s.out.size());
     size += s.line.size;
     cold_allows(s);
-    if (!may_post(txn, s) || !roomy(s, worth)) continue;
+    if (!may_post(txn, s)) continue;
+    all.emplace_back(0, &s);
+    if (!roomy(s, worth)) continue;
     const bool used = std::any_of(txn.postings.begin(), txn.postings.end(),
                                   [&](const Posting& p) { return p.server == &s; });
     double rank = likely(s, left) - (used ? 1 : 0);
     if (s.line.zone != terms.zone) rank -= terms.price_crossing;
     ranked.emplace_back(rank, &s);
     // Unchosen for tp calls: the next call is its trial, once-only txns excepted.
-    if (first && !risky && !terms.may_probe && !s.on_trial && s.unchosen >= trial_after * s.wait_factor) {
+    if (first && !risky && (!terms.may_probe || s.erring) && !s.on_trial &&
+        s.unchosen >= trial_after * s.wait_factor) {
       trial = true;
       return &s;
     }
@@ -329,6 +333,11 @@
   const auto crowded = [&](const auto& r) {
     return double(r.second->out.size()) > mean * r.second->line.size;
   };
+  // A server that fails calls in a row is left to trials: where all others are crowded, its quick failures
+  // would draw everything.
+  const auto failing = [](const auto& r) { return r.second->failures >= failures_seen; };
+  if (!std::all_of(all.begin(), all.end(), failing)) std::erase_if(ranked, failing);
+  if (ranked.empty()) return nullptr;
   if (!std::all_of(ranked.begin(), ranked.end(), crowded)) std::erase_if(ranked, crowded);
   double best = -2;
   for (const auto& r : ranked) best = std::max(best, r.first);
@@ -467,7 +476,8 @@
   if (!terms.may_probe) return false;
   bool fired = false;
   for (auto& [id, s] : servers) {
-    if (!s.known || s.told_off >= 0 || s.probing || s.unchosen < trial_after * s.wait_factor) continue;
+    if (!s.known || s.told_off >= 0 || s.probing || s.erring || s.unchosen < trial_after * s.wait_factor)
+      continue;
     s.probing = true;
     s.unchosen = 0;
     todo_.probes.push_back(id);
@@ -582,6 +592,8 @@
   const bool telling = how != ending::moot && (how != ending::withdrawn || lag > 4 * typical());
   if (telling) {
     if (how == ending::settled) s.crowd.add(now, memory, double(p.beside));
+    // A probe is answered by a server that fails its txns, too: such a one gets its trials from txns.
+    s.erring = how == ending::error;
     sample(s, how == ending::settled, lag, p.trial);
   }
   if (final && !t.answered) close(id, t);
