Room in all at a node, against rounding up at each server

Told from too much room by the first servers to turn slow: all fast ones, just after five others had been left.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -225,7 +225,7 @@
   micros time_left(const Txn& txn) const;
   micros typical() const;
   double value(const Txn& txn) const;
-  bool roomy(const Server& server, double worth) const;
+  double room(const Server& server, double worth) const;
   double cold_share(const Server& server) const;
   int out_now(const Txn& txn) const;
   bool held(const Txn& txn) const { return !txn.answered && out_now(txn) == 0; }
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -186,16 +186,14 @@
       std::count_if(txn.postings.begin(), txn.postings.end(), [](const Posting& p) { return !p.ended; }));
 }
 
-// Whether a server has room for one call more. What answers at its calm pace has (settled a second) x (calm
-// latency) calls in flight; far more than that only wait, and a server kept crowded turns slow and stays so.
-// Txns of little value find less room, so that they give way first. Inner tiers send what they get: it is
-// paid for already.
-bool Balancer::roomy(const Server& s, double worth) const {
-  if (terms.tier > 0) return true;
+// How many of this node's calls a server has room for. What answers at its calm pace has (settled a second) x
+// (calm latency) calls in flight; far more than that only wait, and a server kept crowded turns slow and
+// stays so. Txns of little value find less room, so that they give way first. Inner tiers send what they get:
+// it is paid for already.
+double Balancer::room(const Server& s, double worth) const {
   const double pace_now = s.samples.read(now, memory) / double(memory);
   const double floor = cores_guess * s.line.size / terms.nodes;
-  return double(s.out.size()) <
-         std::max(1.0, floor * (0.5 + worth) + (1 + room_factor / terms.tiers * worth) * pace_now * calm_);
+  return floor * (0.5 + worth) + (1 + room_factor / terms.tiers * worth) * pace_now * calm_;
 }
 
 // What a cold server can do at the least, as a share of its full capacity.
@@ -304,7 +302,7 @@
 Server* Balancer::choose(const Txn& txn, micros left, bool& trial) {
   trial = false;
   std::vector<std::pair<double, Server*>> all, ranked;
-  double in_flight = 0, size = 0;
+  double in_flight = 0, size = 0, room_in_all = 0;
   const double worth = value(txn);
   const bool first = txn.postings.empty();
   const bool risky = terms.schemes[std::size_t(txn.scheme)].kind == repeats::once_only;
@@ -315,7 +313,9 @@
     cold_allows(s);
     if (!may_post(txn, s)) continue;
     all.emplace_back(0, &s);
-    if (!roomy(s, worth)) continue;
+    const double has = room(s, worth);
+    room_in_all += has;
+    if (terms.tier == 0 && double(s.out.size()) >= std::max(1.0, has)) continue;
     const bool used = std::any_of(txn.postings.begin(), txn.postings.end(),
                                   [&](const Posting& p) { return p.server == &s; });
     double rank = likely(s, left) - (used ? 1 : 0);
@@ -329,6 +329,8 @@
     }
   }
   if (ranked.empty()) return nullptr;
+  // Each server may have one call at least, but not all of them from all nodes together.
+  if (terms.tier == 0 && in_flight >= std::max(1.0, room_in_all)) return nullptr;
   const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / std::max(1e-9, size)));
   const auto crowded = [&](const auto& r) {
     return double(r.second->out.size()) > mean * r.second->line.size;
