--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -223,6 +223,7 @@
   void sample(Server& server, bool good, micros latency, bool trial);
   void seed_window(Server& server);
   micros time_left(const Txn& txn) const;
+  double seen_for() const;
   micros typical() const;
   double value(const Txn& txn) const;
   double room(const Server& server, double worth) const;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -25,6 +25,7 @@
     2.4;  // room beyond what a calm server has in flight, by a txn's value, over all tiers
 constexpr micros second = 1'000'000;
 constexpr micros memory = 5 * second;   // of the fading sums
+constexpr double hopeless = 0.2;        // F(b) under which a txn is declined rather than posted
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr double calm_samples = 5;      // the mean of fewer is no measure of calm
 constexpr micros calm_memory = 60 * second;
@@ -121,6 +122,11 @@
   }
 }
 
+// The time over which a fading sum has gathered: less than its memory while the node is young.
+double Balancer::seen_for() const {
+  return double(memory) * std::max(0.05, 1 - std::exp(-double(now - started) / double(memory)));
+}
+
 micros Balancer::typical() const {
   const double n = all_samples_.read(now, memory);
   return n < 0.01 ? bin_width : std::max<micros>(1, micros(all_latency_.read(now, memory) / n));
@@ -191,9 +197,9 @@
 // stays so. Txns of little value find less room, so that they give way first. Inner tiers send what they get:
 // it is paid for already.
 double Balancer::room(const Server& s, double worth) const {
-  const double pace_now = s.samples.read(now, memory) / double(memory);
+  const double settled = s.samples.read(now, memory) / seen_for();
   const double floor = cores_guess * s.line.size / terms.nodes;
-  return floor * (0.5 + worth) + (1 + room_factor / terms.tiers * worth) * pace_now * calm_;
+  return floor * (0.5 + worth) + (1 + room_factor / terms.tiers * worth) * settled * calm_;
 }
 
 // What a cold server can do at the least, as a share of its full capacity.
@@ -214,9 +220,7 @@
       sent += other.sent.read(now, memory);
       size += other.line.size;
     }
-  const double age = std::min(double(now - started), 1e12) / double(memory);
-  const double life = double(memory) / double(second) * std::max(0.05, 1 - std::exp(-age));
-  const double pace_now = size > 0 ? sent / size * s.line.size / life : 0;
+  const double pace_now = size > 0 ? sent / size * s.line.size / seen_for() * double(second) : 0;
   const double allowed = 0.4 * terms.tip_multiple * share * pace_now;  // calls a second
   if (s.credit_at < s.line.started || s.credit_at == 0) {
     s.cold_credit = double(chance()) / 4294967296.0;
@@ -408,9 +412,8 @@
   return (txn.in_share ? 1 : terms.beyond_share) * (0.5 + 0.5 * own);
 }
 
-// Held txns go out, the most valuable first, while the server chosen is foreseen to answer well within the
-// SLA time: less room is left to txns of little value, so that they give way first. Inner tiers hold work
-// that is paid for already, and send what they get.
+// Held txns go out, the most valuable first, while there is room. Those that the best server would hardly
+// answer in time are declined at once.
 bool Balancer::post_next() {
   Txn* next = nullptr;
   const std::string* id = nullptr;
@@ -427,8 +430,12 @@
     short_of_room_ = now;
     return false;
   }
-  const double room = terms.tier > 0 ? 10 : 0.2 + 0.5 * value(*next);
-  if (!trial && double(foreseen(*s)) > room * double(time_left(*next)) && !s->out.empty()) return false;
+  // Held for no use, it would keep those behind it waiting; an idle server is tried all the same.
+  if (terms.tier == 0 && !trial && next->postings.empty() && !s->out.empty() &&
+      likely(*s, time_left(*next)) < hopeless) {
+    answer(*id, *next);
+    return true;
+  }
   post(*id, *next, *s, trial);
   return true;
 }
