Decline at once what is foreseen to take too much of its time left

Cause: in overload, posting until the table itself says 'hardly' fills the servers with work that comes late.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -25,7 +25,6 @@
     2.4;  // room beyond what a calm server has in flight, by a txn's value, over all tiers
 constexpr micros second = 1'000'000;
 constexpr micros memory = 5 * second;   // of the fading sums
-constexpr double hopeless = 0.2;        // F(b) under which a txn is declined rather than posted
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr double calm_samples = 5;      // the mean of fewer is no measure of calm
 constexpr micros calm_memory = 60 * second;
@@ -432,7 +431,7 @@
   }
   // Held for no use, it would keep those behind it waiting; an idle server is tried all the same.
   if (terms.tier == 0 && !trial && next->postings.empty() && !s->out.empty() &&
-      likely(*s, time_left(*next)) < hopeless) {
+      double(foreseen(*s)) > (0.4 + 0.3 * value(*next)) * double(time_left(*next))) {
     answer(*id, *next);
     return true;
   }
