--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -21,8 +21,7 @@
 constexpr int failures_seen = 2;       // in a row: rebuild without a test
 constexpr double repeats_share = 0.1;  // further postings, of the txns taken
 constexpr double cores_guess = 2;      // calls a server works on side by side, where nothing tells
-constexpr double room_factor =
-    2.4;  // room beyond what a calm server has in flight, by a txn's value, over all tiers
+constexpr double room_factor = 1.6;    // room beyond the calm load by a txn's value, over all tiers
 constexpr micros second = 1'000'000;
 constexpr micros memory = 5 * second;   // of the fading sums
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
