The calm latency rises over 300 s, not 60

Cause: under sustained overload the measure of calm rose by half in 30 s and let the front tier drift into slowness.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -26,7 +26,7 @@
 constexpr micros memory = 5 * second;   // of the fading sums
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr double calm_samples = 5;      // the mean of fewer is no measure of calm
-constexpr micros calm_memory = 60 * second;
+constexpr micros calm_memory = 300 * second;
 constexpr micros pace = 20'000;  // between looks at what is held or out
 
 }  // namespace
