--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -167,7 +167,10 @@
   if (good) {
     s.latency.add(now, memory, double(latency));
     s.samples.add(now, memory, 1);
-    all_latency_.add(now, memory, double(latency));
+    // A few txns that cost many times the usual are no sign of crowding: they would shrink the room of all
+    // others.
+    const bool known = all_samples_.read(now, memory) >= calm_samples;
+    all_latency_.add(now, memory, double(known ? std::min(latency, 3 * usual) : latency));
     all_samples_.add(now, memory, 1);
     const double risen = calm_ * (1 + double(now - calm_at_) / double(calm_memory));
     if (all_samples_.read(now, memory) >= calm_samples)
