--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -226,6 +226,7 @@
   double seen_for() const;
   micros typical() const;
   double value(const Txn& txn) const;
+  void weigh_schemes();
   double room(const Server& server, double worth) const;
   double cold_share(const Server& server) const;
   int out_now(const Txn& txn) const;
@@ -234,7 +235,9 @@
   Decisions todo_;
   Fading all_latency_, all_samples_;
   std::vector<micros> longest_wait_;  // by scheme: what a client's try had at the most
-  double calm_ = 0;                   // the lowest mean latency seen of late
+  std::vector<Fading> scheme_latency_, scheme_samples_;
+  std::vector<double> earning_;  // by scheme, for its work, the best 1
+  double calm_ = 0;              // the lowest mean latency seen of late
   micros calm_at_ = 0;
   micros short_of_room_ = -(micros(1) << 60);
   micros next_ask_ = 0, ask_wait_ = 0, wake_at_ = 0, last_told_ = 0;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -68,7 +68,11 @@
       tenants(terms.allowances.size()),
       now(at),
       started(at),
-      longest_wait_(terms.schemes.size()) {
+      longest_wait_(terms.schemes.size()),
+      scheme_latency_(terms.schemes.size()),
+      scheme_samples_(terms.schemes.size()),
+      earning_(terms.schemes.size(), 1) {
+  weigh_schemes();
   micros shortest = second, longest = second;
   if (!terms.schemes.empty()) shortest = longest = terms.schemes[0].sla;
   for (const auto& s : terms.schemes) {
@@ -404,12 +408,23 @@
   return fired;
 }
 
-// Revenue of a txn against the best of the house.
+// What a scheme earns for its work, against the best of the house; its mean latency stands for its work.
+void Balancer::weigh_schemes() {
+  double most = 0;
+  for (std::size_t i = 0; i < terms.schemes.size(); ++i) {
+    const double n = scheme_samples_[i].read(now, memory);
+    const double work = (scheme_latency_[i].read(now, memory) + double(typical())) / (n + 1);
+    earning_[i] = terms.schemes[i].revenue / (terms.by_work ? 1 : std::max(1.0, work));
+    most = std::max(most, earning_[i]);
+  }
+  if (most > 0)
+    for (double& e : earning_) e /= most;
+}
+
+// The value of a txn, from 1 down.
 double Balancer::value(const Txn& txn) const {
   if (terms.tier == 0 && now >= txn.sla && terms.schemes[std::size_t(txn.scheme)].late_revenue <= 0) return 0;
-  double most = 0;
-  for (const auto& s : terms.schemes) most = std::max(most, s.revenue);
-  const double own = most > 0 ? terms.schemes[std::size_t(txn.scheme)].revenue / most : 1;
+  const double own = earning_[std::size_t(txn.scheme)];
   return (txn.in_share ? 1 : terms.beyond_share) * (0.5 + 0.5 * own);
 }
 
@@ -601,7 +616,12 @@
   // A posting that we called off, or that was never sent, says of its server only how long it was silent.
   const bool telling = how != ending::moot && (how != ending::withdrawn || lag > 4 * typical());
   if (telling) {
-    if (how == ending::settled) s.crowd.add(now, memory, double(p.beside));
+    if (how == ending::settled) {
+      s.crowd.add(now, memory, double(p.beside));
+      scheme_latency_[std::size_t(t.scheme)].add(now, memory, double(lag));
+      scheme_samples_[std::size_t(t.scheme)].add(now, memory, 1);
+      weigh_schemes();
+    }
     // A probe is answered by a server that fails its txns, too: such a one gets its trials from txns.
     s.erring = how == ending::error;
     sample(s, how == ending::settled, lag, p.trial);
