The least valuable of the held is declined at once when the wait grows

Cause: a quarter of the SLA time was too short a wait while most of what waits ends in an answer, and too long for what is turned away in the end.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <array>
+#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -87,8 +88,13 @@
 struct Fading {
   double sum = 0;
   micros at = 0;
-  double read(micros now, micros life) const;
-  void add(micros now, micros life, double x);
+  double read(micros now, micros life) const {
+    return sum == 0 ? 0 : sum * std::exp(-double(now - at) / double(life));
+  }
+  void add(micros now, micros life, double x) {
+    sum = read(now, life) + x;
+    at = now;
+  }
 };
 
 constexpr int most_bins = 256;
@@ -119,7 +125,6 @@
   Fading latency, samples, crowd, sent;
   double cold_credit = 0;
   micros credit_at = 0;
-  Report report;
 };
 
 struct Posting {
@@ -182,7 +187,11 @@
   Decisions stream_begun(micros now, const std::string& id, int n);
   Decisions client_left(micros now, const std::string& id);
   Decisions probe_answered(micros now, const std::string& server, bool ok, micros lag, const Report* report);
-  Decisions peer_heard(micros now, int from, const std::string& bytes);
+  // Peers send nothing of use yet; a front may pass on what it hears.
+  Decisions peer_heard(micros at, int, const std::string&) {
+    now = at;
+    return run();
+  }
   Decisions woke(micros now);
 
   // The state, open so that a test can build it.
@@ -227,6 +236,8 @@
   micros typical() const;
   double value(const Txn& txn) const;
   void weigh_schemes();
+  bool shed();
+  micros patience(const Txn& txn) const;
   double room(const Server& server, double worth) const;
   double cold_share(const Server& server) const;
   int out_now(const Txn& txn) const;
@@ -240,7 +251,7 @@
   double calm_ = 0;              // the lowest mean latency seen of late
   micros calm_at_ = 0;
   micros short_of_room_ = -(micros(1) << 60);
-  micros next_ask_ = 0, ask_wait_ = 0, wake_at_ = 0, last_told_ = 0;
+  micros next_ask_ = 0, ask_wait_ = 0, wake_at_ = 0;
   bool watching_ = false, asked_ = false;
 };
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,15 +31,6 @@
 
 }  // namespace
 
-double Fading::read(micros now, micros life) const {
-  return sum == 0 ? 0 : sum * std::exp(-double(now - at) / double(life));
-}
-
-void Fading::add(micros now, micros life, double x) {
-  sum = read(now, life) + x;
-  at = now;
-}
-
 void Window::take(int bin, int length) {
   bins.push_back(std::uint16_t(bin));
   ++count[std::size_t(bin)];
@@ -63,15 +54,13 @@
 }
 
 Balancer::Balancer(Terms t, std::uint32_t seed, micros at)
-    : terms(std::move(t)),
-      chance(seed),
-      tenants(terms.allowances.size()),
-      now(at),
-      started(at),
-      longest_wait_(terms.schemes.size()),
-      scheme_latency_(terms.schemes.size()),
-      scheme_samples_(terms.schemes.size()),
-      earning_(terms.schemes.size(), 1) {
+    : terms(std::move(t)), chance(seed), now(at), started(at) {
+  const std::size_t schemes = terms.schemes.size();
+  tenants.resize(terms.allowances.size());
+  longest_wait_.resize(schemes);
+  scheme_latency_.resize(schemes);
+  scheme_samples_.resize(schemes);
+  earning_.assign(schemes, 1);
   weigh_schemes();
   micros shortest = second, longest = second;
   if (!terms.schemes.empty()) shortest = longest = terms.schemes[0].sla;
@@ -444,7 +433,7 @@
   Server* s = choose(*next, time_left(*next), trial);
   if (!s) {
     short_of_room_ = now;
-    return false;
+    return shed();
   }
   // Held for no use, it would keep those behind it waiting; an idle server is tried all the same.
   if (terms.tier == 0 && !trial && next->postings.empty() && !s->out.empty() &&
@@ -456,18 +445,41 @@
   return true;
 }
 
+// No room: where more are held than can go out while the least of them may wait, that one is declined at
+// once. Of what waits, most should end in an answer.
+bool Balancer::shed() {
+  if (terms.tier > 0) return false;
+  std::pair<const std::string, Txn>* least = nullptr;
+  int waiting = 0;
+  for (auto& entry : txns) {
+    Txn& t = entry.second;
+    if (!held(t) || !t.postings.empty()) continue;
+    ++waiting;
+    if (!least || value(t) < value(least->second) ||
+        (value(t) == value(least->second) && t.taken > least->second.taken))
+      least = &entry;
+  }
+  if (!least) return false;
+  const double settled = all_samples_.read(now, memory) / seen_for();
+  if (double(waiting) <= 1 + settled * double(patience(least->second))) return false;
+  answer(least->first, least->second);
+  return true;
+}
+
+// How long a txn of the first tier may be held, if nothing was sent for it.
+micros Balancer::patience(const Txn& t) const { return (std::min(t.sla, t.expiry) - t.taken) / 4; }
+
 // A held txn that can no longer be answered in time is given up, and told so at once.
 bool Balancer::give_up() {
   bool fired = false;
   for (auto& [id, t] : txns) {
     if (!held(t)) continue;
     const scheme_row& row = terms.schemes[std::size_t(t.scheme)];
-    const micros patience = std::min(t.sla, t.expiry) - t.taken;
     const bool spent = int(t.postings.size()) >= terms.most_postings;
     const bool proven =
         std::all_of(t.postings.begin(), t.postings.end(), [](const Posting& p) { return p.never_ran; });
     const bool stuck = !proven && row.kind == repeats::once_only;
-    const bool waited = terms.tier == 0 && now - t.taken > patience / 4 && t.postings.empty();
+    const bool waited = terms.tier == 0 && now - t.taken > 2 * patience(t) && t.postings.empty();
     const bool late = t.expiry - now <= 2 * pace || (now >= t.sla && row.late_revenue <= 0);
     if (!spent && !stuck && !waited && !late) continue;
     answer(id, t);
@@ -531,7 +543,6 @@
     asked_ = false;
     ask_wait_ = std::max<micros>(second / 2, terms.ask_every / 10);
   }
-  last_told_ = now;
   if (whole)
     for (auto& [id, s] : servers) s.known = false;
   for (const Line& line : lines) {
@@ -599,7 +610,7 @@
 }
 
 Decisions Balancer::posting_ended(micros at, const std::string& id, int n, ending how, micros lag, bool final,
-                                  const Report* report) {
+                                  const Report*) {
   now = at;
   const auto it = txns.find(id);
   if (it == txns.end() || n < 0 || n >= int(it->second.postings.size())) return run();
@@ -612,7 +623,6 @@
   const auto out = std::find(s.out.begin(), s.out.end(), p.sent);
   if (out != s.out.end()) s.out.erase(out);
   if (p.trial) s.on_trial = false;
-  if (report) s.report = *report;
   // A posting that we called off, or that was never sent, says of its server only how long it was silent.
   const bool telling = how != ending::moot && (how != ending::withdrawn || lag > 4 * typical());
   if (telling) {
@@ -649,13 +659,11 @@
   return run();
 }
 
-Decisions Balancer::probe_answered(micros at, const std::string& server, bool ok, micros lag,
-                                   const Report* report) {
+Decisions Balancer::probe_answered(micros at, const std::string& server, bool ok, micros lag, const Report*) {
   now = at;
   if (const auto it = servers.find(server); it != servers.end()) {
     Server& s = it->second;
     s.probing = false;
-    if (report) s.report = *report;
     // A probe does no txn's work: it tells life and death, and its lag only where it is worse than a call's.
     if (ok && lag <= 3 * typical()) {
       s.failures = 0;
@@ -671,11 +679,6 @@
   return run();
 }
 
-Decisions Balancer::peer_heard(micros at, int, const std::string&) {
-  now = at;
-  return run();
-}
-
 Decisions Balancer::woke(micros at) {
   now = at;
   if (wake_at_ <= now) wake_at_ = 0;
