--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -219,7 +219,6 @@
   using rule = bool (Balancer::*)();
   Decisions run();
   bool ask_for_list();
-  bool end_overdue();
   bool call_off_late();
   bool post_next();
   bool copy_silent();
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -25,7 +25,7 @@
 constexpr micros second = 1'000'000;
 constexpr micros memory = 5 * second;   // of the fading sums
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
-constexpr double calm_samples = 5;      // the mean of fewer is no measure of calm
+constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
 constexpr micros calm_memory = 300 * second;
 constexpr micros pace = 20'000;  // between looks at what is held or out
 
@@ -166,8 +166,7 @@
     all_latency_.add(now, memory, double(known ? std::min(latency, 3 * usual) : latency));
     all_samples_.add(now, memory, 1);
     const double risen = calm_ * (1 + double(now - calm_at_) / double(calm_memory));
-    if (all_samples_.read(now, memory) >= calm_samples)
-      calm_ = calm_ > 0 ? std::min(risen, double(usual)) : double(usual);
+    if (known) calm_ = calm_ > 0 ? std::min(risen, double(usual)) : double(usual);
     calm_at_ = now;
   }
   s.failures = good ? 0 : s.failures + 1;
@@ -193,7 +192,8 @@
 double Balancer::room(const Server& s, double worth) const {
   const double settled = s.samples.read(now, memory) / seen_for();
   const double floor = cores_guess * s.line.size / terms.nodes;
-  return floor * (0.5 + worth) + (1 + room_factor / terms.tiers * worth) * settled * calm_;
+  return floor * (0.5 + worth) +
+         (1 + room_factor / terms.tiers * worth) * settled * (calm_ > 0 ? calm_ : double(typical()));
 }
 
 // What a cold server can do at the least, as a share of its full capacity.
@@ -351,9 +351,9 @@
 // ---- the rules ----
 
 Decisions Balancer::run() {
-  static constexpr std::array<rule, 8> rules = {
-      &Balancer::ask_for_list, &Balancer::end_overdue, &Balancer::call_off_late,  &Balancer::post_next,
-      &Balancer::give_up,      &Balancer::copy_silent, &Balancer::probe_unchosen, &Balancer::plan_wake};
+  static constexpr std::array<rule, 7> rules = {
+      &Balancer::ask_for_list, &Balancer::call_off_late,  &Balancer::post_next, &Balancer::give_up,
+      &Balancer::copy_silent,  &Balancer::probe_unchosen, &Balancer::plan_wake};
   for (bool fired = true; fired;) {
     fired = false;
     for (rule r : rules) fired = (this->*r)() || fired;
@@ -370,17 +370,6 @@
   return true;
 }
 
-// At the expiry a txn gets its answer, whatever is out.
-bool Balancer::end_overdue() {
-  bool fired = false;
-  for (auto& [id, t] : txns)
-    if (!t.answered && !t.streaming && now >= t.expiry) {
-      answer(id, t);
-      fired = true;
-    }
-  return fired;
-}
-
 // While txns wait for room, one that can no longer earn is called off, where that costs little: its work is
 // better spent on those that can. A crowded fleet would answer late and nothing else.
 bool Balancer::call_off_late() {
@@ -469,11 +458,12 @@
 // How long a txn of the first tier may be held, if nothing was sent for it.
 micros Balancer::patience(const Txn& t) const { return (std::min(t.sla, t.expiry) - t.taken) / 4; }
 
-// A held txn that can no longer be answered in time is given up, and told so at once.
+// At its expiry a txn gets its answer, whatever is out. A held one that can no longer be answered in time is
+// given up before, and told so at once.
 bool Balancer::give_up() {
   bool fired = false;
   for (auto& [id, t] : txns) {
-    if (!held(t)) continue;
+    if (t.answered || t.streaming || (now < t.expiry && !held(t))) continue;
     const scheme_row& row = terms.schemes[std::size_t(t.scheme)];
     const bool spent = int(t.postings.size()) >= terms.most_postings;
     const bool proven =
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -108,3 +108,41 @@
   b.servers["a"].out = {noon - 900 * ms};
   CHECK(b.likely(b.servers["a"], 400 * ms) < 0.97);
 }
+
+TEST_CASE("a server that fails calls in a row is left to trials, however crowded the others are") {
+  Balancer b = node({"good", "failing"});
+  fill(b, "good", 100 * ms);
+  fill(b, "failing", 100 * ms);
+  b.build();
+  b.servers["good"].out.assign(40, noon);
+  b.servers["failing"].failures = 2;
+  bool trial = false;
+  const Server* s = b.choose(txn(0), 400 * ms, trial);
+  CHECK((s == nullptr || s->line.server == "good"));
+}
+
+TEST_CASE("a repeat with less time than calls take is declined at once and keeps nobody waiting") {
+  Balancer b = node({"a"});
+  fill(b, "a", 100 * ms);
+  b.build();
+  b.servers["a"].out = {noon};
+  b.servers["a"].latency.add(noon, 5000 * ms, 20.0 * 100 * ms);
+  b.servers["a"].samples.add(noon, 5000 * ms, 20);
+  b.txns["late"] = txn(0);
+  b.txns["late"].sla = noon + 50 * ms;
+  const Decisions d = b.txn_taken(noon, "fresh", 0, -1, 1200 * ms, 0, false);
+  REQUIRE(d.finals.size() == 1);
+  CHECK(d.finals[0].txn == "late");
+  REQUIRE(d.sends.size() == 1);
+  CHECK(d.sends[0].txn == "fresh");
+}
+
+TEST_CASE(
+    "a shorter wait than a scheme's longest tells a repeat, whose SLA time has run since its first try") {
+  Balancer b = node({"a"});
+  b.txn_taken(noon, "first", 0, -1, 1000 * ms, 0, false);
+  const Decisions d = b.txn_taken(noon, "again", 0, -1, 400 * ms, 0, false);
+  CHECK(b.txns["first"].sla == noon + 500 * ms);
+  REQUIRE(d.finals.size() == 1);  // no server is idle, and it is past its SLA time
+  CHECK(d.finals[0].txn == "again");
+}
