Among tied servers those at home go first

Cause: the price of a crossing is below the difference of one sample in fifty, so that it never told among the tied.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -24,11 +24,18 @@
 constexpr double room_factor = 1.6;    // room beyond the calm load by a txn's value, over all tiers
 constexpr micros second = 1'000'000;
 constexpr micros memory = 5 * second;   // of the fading sums
+constexpr double crossing_worth = 1.5;  // times the latency elsewhere that home may take
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
 constexpr micros calm_memory = 300 * second;
 constexpr micros pace = 20'000;  // between looks at what is held or out
 
+// Leaves out what the condition names, unless that is all there is.
+template <typename Ranked, typename Condition>
+void pass_over(Ranked& ranked, Condition condition) {
+  if (!std::all_of(ranked.begin(), ranked.end(), condition)) std::erase_if(ranked, condition);
+}
+
 }  // namespace
 
 void Window::take(int bin, int length) {
@@ -257,9 +264,8 @@
 void Balancer::answer(const std::string& id, Txn& txn) {
   if (txn.answered) return;
   const bool declined = may_decline(txn) && now < txn.expiry;
-  micros back = 0;
-  if (declined && terms.advice_heeded) back = std::min(terms.longest_advice, 2 * typical());
-  todo_.finals.push_back({id, declined, back});
+  todo_.finals.push_back(
+      {id, declined, declined && terms.advice_heeded ? std::min(terms.longest_advice, 2 * typical()) : 0});
   close(id, txn);
 }
 
@@ -278,15 +284,9 @@
   s.on_trial = s.on_trial || trial;
   s.sent.add(now, memory, txn.cost);
   if (!txn.postings.empty()) repeats_sent.add(now, memory, 1);
-  // Where two at once are forbidden, silence is left by time-out: half of what is left, while a repeat is
-  // allowed.
-  micros wait = 0;
-  const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
-  if (!terms.two_at_once && row.kind == repeats::repeatable && txn.postings.empty() && trial)
-    wait = std::max(3 * typical(), time_left(txn) / 2);
   txn.postings.push_back({&s, now, int(s.out.size()), trial, false, false});
   s.out.push_back(now);
-  todo_.sends.push_back({id, s.line.server, wait});
+  todo_.sends.push_back({id, s.line.server, 0});
 }
 
 // ---- the choice ----
@@ -302,8 +302,8 @@
   std::vector<std::pair<double, Server*>> all, ranked;
   double in_flight = 0, size = 0, room_in_all = 0;
   const double worth = value(txn);
-  const bool first = txn.postings.empty();
-  const bool risky = terms.schemes[std::size_t(txn.scheme)].kind == repeats::once_only;
+  const bool may_try =
+      txn.postings.empty() && terms.schemes[std::size_t(txn.scheme)].kind != repeats::once_only;
   for (auto& [id, s] : servers) {
     if (!s.known || s.told_off >= 0) continue;
     in_flight += double(s.out.size());
@@ -320,7 +320,7 @@
     if (s.line.zone != terms.zone) rank -= terms.price_crossing;
     ranked.emplace_back(rank, &s);
     // Unchosen for tp calls: the next call is its trial, once-only txns excepted.
-    if (first && !risky && (!terms.may_probe || s.erring) && !s.on_trial &&
+    if (may_try && (!terms.may_probe || s.erring) && !s.on_trial &&
         s.unchosen >= trial_after * s.wait_factor) {
       trial = true;
       return &s;
@@ -338,10 +338,19 @@
   const auto failing = [](const auto& r) { return r.second->failures >= failures_seen; };
   if (!std::all_of(all.begin(), all.end(), failing)) std::erase_if(ranked, failing);
   if (ranked.empty()) return nullptr;
-  if (!std::all_of(ranked.begin(), ranked.end(), crowded)) std::erase_if(ranked, crowded);
+  pass_over(ranked, crowded);
   double best = -2;
   for (const auto& r : ranked) best = std::max(best, r.first);
   std::erase_if(ranked, [&](const auto& r) { return r.first < best - 1.0 / window_length; });
+  // Among the tied a crossing is paid for only where the servers at home are crowded.
+  if (terms.price_crossing > 0) {
+    micros soonest = foreseen(*ranked[0].second);
+    for (const auto& r : ranked) soonest = std::min(soonest, foreseen(*r.second));
+    pass_over(ranked, [&](const auto& r) {
+      return r.second->line.zone != terms.zone ||
+             double(foreseen(*r.second)) > crossing_worth * double(soonest);
+    });
+  }
   // Ties at random; of two drawn, the one foreseen to answer sooner, since latency grows with what is sent.
   Server* a = ranked[chance() % ranked.size()].second;
   Server* b = ranked[chance() % ranked.size()].second;
@@ -402,8 +411,7 @@
 // The value of a txn, from 1 down.
 double Balancer::value(const Txn& txn) const {
   if (terms.tier == 0 && now >= txn.sla && terms.schemes[std::size_t(txn.scheme)].late_revenue <= 0) return 0;
-  const double own = earning_[std::size_t(txn.scheme)];
-  return (txn.in_share ? 1 : terms.beyond_share) * (0.5 + 0.5 * own);
+  return (txn.in_share ? 1 : terms.beyond_share) * (0.5 + 0.5 * earning_[std::size_t(txn.scheme)]);
 }
 
 // Held txns go out, the most valuable first, while there is room. Those that the best server would hardly
@@ -538,13 +546,11 @@
   for (const Line& line : lines) {
     const auto [it, fresh] = servers.try_emplace(line.server);
     Server& s = it->second;
-    const bool again = !fresh && line.started > s.line.started;
-    const bool off = line.state != standing::serving;
+    const bool off = line.state != standing::serving, again = !fresh && line.started > s.line.started;
     s.line = line;
     s.line.size = terms.sizes_told && line.size > 0 ? line.size : 1;
     s.known = true;
-    if (!off) s.told_off = -1;
-    if (off && s.told_off < 0) s.told_off = now;
+    s.told_off = !off ? -1 : s.told_off < 0 ? now : s.told_off;
     if (fresh || again) {
       s.failures = 0;
       s.wait_factor = 1;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -146,3 +146,22 @@
   REQUIRE(d.finals.size() == 1);  // no server is idle, and it is past its SLA time
   CHECK(d.finals[0].txn == "again");
 }
+
+TEST_CASE("among tied servers a crossing is paid for only where those at home are crowded") {
+  Terms t = terms();
+  t.price_crossing = 0.01;
+  const int at_home = GENERATE(0, 3);
+  Balancer b = node({"home", "far"}, t);
+  b.servers["far"].line.zone = "there";
+  for (const char* name : {"home", "far"}) {
+    fill(b, name, 20 * ms);
+    b.servers[name].latency.add(noon, 5000 * ms, 20.0 * 20 * ms);
+    b.servers[name].samples.add(noon, 5000 * ms, 20);
+  }
+  b.build();
+  b.servers["home"].out.assign(std::size_t(at_home), noon);
+  bool trial = false;
+  int home = 0;
+  for (int i = 0; i < 50; ++i) home += b.choose(txn(0), 400 * ms, trial)->line.server == "home";
+  CHECK((at_home == 0 ? home == 50 : home < 50));
+}
