--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -316,8 +316,7 @@
     if (terms.tier == 0 && double(s.out.size()) >= std::max(1.0, has)) continue;
     const bool used = std::any_of(txn.postings.begin(), txn.postings.end(),
                                   [&](const Posting& p) { return p.server == &s; });
-    double rank = likely(s, left) - (used ? 1 : 0);
-    if (s.line.zone != terms.zone) rank -= terms.price_crossing;
+    const double rank = likely(s, left) - (used ? 1 : 0);
     ranked.emplace_back(rank, &s);
     // Unchosen for tp calls: the next call is its trial, once-only txns excepted.
     if (may_try && (!terms.may_probe || s.erring) && !s.on_trial &&
