--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -42,8 +42,6 @@
   int nodes = 1;
   bool by_work = false;  // revenue is counted by work
   bool ask_list = false;
-  bool told_time_left = false;
-  bool tail_counts = false;  // the goal has a part for punctuality
   bool sizes_told = false;
   bool may_probe = false;
   bool may_withdraw = false;
@@ -51,7 +49,6 @@
   bool advice_heeded = false;
   int most_postings = 1;
   micros longest_advice = 0;
-  micros drain_grace = 0;
   micros ask_every = 0;
   micros cold_for = 0;
   double cold_from = 1;
@@ -59,7 +56,6 @@
   micros tip_window = 0;
   double price_crossing = 0;
   double price_waste = 0;
-  double price_probe = 0;
   double price_late = 0;
 };
 
@@ -68,7 +64,6 @@
 struct Line {
   std::string server;
   std::string zone;
-  std::string kind;
   int cell = 0;
   double size = 1;
   standing state = standing::serving;
@@ -125,6 +120,7 @@
   Fading latency, samples, crowd, sent;
   double cold_credit = 0;
   micros credit_at = 0;
+  bool serving() const { return known && told_off < 0; }
 };
 
 struct Posting {
@@ -138,13 +134,11 @@
 
 struct Txn {
   int scheme = 0;
-  int tenant = -1;
   micros taken = 0;
   micros expiry = 0;
   micros sla = 0;  // the moment it ends
   double cost = 1;
   bool in_share = true;
-  bool repeat = false;
   bool streaming = false;  // its answer has begun: the client's, without expiry
   bool answered = false;
   std::vector<Posting> postings;
@@ -154,8 +148,7 @@
 
 struct Decisions {
   struct Send {
-    std::string txn, server;
-    micros wait = 0;  // 0: until the client gives up
+    std::string txn, server;  // it waits until the client gives up
   };
   struct Final {
     std::string txn;
@@ -180,8 +173,7 @@
 
   Decisions list_told(micros now, const std::vector<Line>& lines, bool whole, bool asked = true);
   Decisions list_failed(micros now);
-  Decisions txn_taken(micros now, const std::string& id, int scheme, int tenant, micros left, double cost,
-                      bool repeat);
+  Decisions txn_taken(micros now, const std::string& id, int scheme, int tenant, micros left, double cost);
   Decisions posting_ended(micros now, const std::string& id, int n, ending how, micros lag, bool final,
                           const Report* report);
   Decisions stream_begun(micros now, const std::string& id, int n);
@@ -229,11 +221,17 @@
   void answer(const std::string& id, Txn& txn);
   void close(const std::string& id, Txn& txn);
   void sample(Server& server, bool good, micros latency, bool trial);
-  void seed_window(Server& server);
+  void start_anew(Server& server);
+  void withdraw_but(const std::string& id, const Txn& txn, int kept);
+  double part_of_one();
+  micros first_ask_wait() const;
+  double crowding(const Server& server) const;
   micros time_left(const Txn& txn) const;
   double seen_for() const;
   micros typical() const;
   double value(const Txn& txn) const;
+  bool earns_no_more(const Txn& txn) const;
+  bool never_ran(const Txn& txn) const;
   void weigh_schemes();
   bool shed();
   micros patience(const Txn& txn) const;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -67,7 +67,7 @@
   longest_wait_.resize(schemes);
   scheme_latency_.resize(schemes);
   scheme_samples_.resize(schemes);
-  earning_.assign(schemes, 1);
+  earning_.resize(schemes);
   weigh_schemes();
   micros shortest = second, longest = second;
   if (!terms.schemes.empty()) shortest = longest = terms.schemes[0].sla;
@@ -78,10 +78,15 @@
   bin_width = std::max<micros>(1, std::max(shortest / bins_per_sla, longest / (most_bins - 2) + 1));
   bins = int(longest / bin_width) + 2;
   // Nodes that start in step would crowd the list: the first call comes at a time of the node's own.
-  ask_wait_ = std::max<micros>(second / 2, terms.ask_every / 10);
-  next_ask_ = now + micros(double(terms.ask_every) * 0.4 * (double(chance()) / 4294967296.0));
+  ask_wait_ = first_ask_wait();
+  next_ask_ = now + micros(double(terms.ask_every) * 0.4 * part_of_one());
 }
 
+// At random, from 0 to under 1.
+double Balancer::part_of_one() { return double(chance()) / 4294967296.0; }
+
+micros Balancer::first_ask_wait() const { return std::max<micros>(second / 2, terms.ask_every / 10); }
+
 // ---- the histogram and its table ----
 
 // Bin k holds latencies within half a width of k widths; the last bin holds all overruns.
@@ -104,8 +109,10 @@
   }
 }
 
-// A new server starts from what the others' windows hold together.
-void Balancer::seed_window(Server& server) {
+// A new or mended server starts from what the others' windows hold together, its failures forgotten.
+void Balancer::start_anew(Server& server) {
+  server.failures = 0;
+  server.wait_factor = 1;
   int total = 0, seen = 0;
   for (std::size_t b = 0; b + 1 < std::size_t(bins); ++b)
     total += pooled[b];  // their overruns are not its own
@@ -132,33 +139,31 @@
 
 // How the server's load now compares with its load when its samples were taken, by what this node can see:
 // its own calls in flight, the other nodes taken to do as this one did.
-static double crowding(const Server& s, double mean_beside, int nodes) {
-  const double others = double(nodes - 1) * mean_beside;
-  return (cores_guess * s.line.size + double(s.out.size()) + others) /
-         (cores_guess * s.line.size + mean_beside + others);
+double Balancer::crowding(const Server& s) const {
+  const double n = s.samples.read(now, memory), capacity = cores_guess * s.line.size;
+  const double beside = n < 0.01 ? 0 : s.crowd.read(now, memory) / n;
+  const double others = double(terms.nodes - 1) * beside;
+  return (capacity + double(s.out.size()) + others) / (capacity + beside + others);
 }
 
 // F(b) of the table, read at the time left shortened by the crowding since the samples were taken. A posting
 // that is silent for far longer than calls take counts as an overrun already: a hung server would stay on top
 // otherwise.
 double Balancer::likely(const Server& s, micros left) const {
-  const double n = s.samples.read(now, memory);
-  const double beside = n < 0.01 ? 0 : s.crowd.read(now, memory) / n;
-  const double b = double(left) / crowding(s, beside, terms.nodes) / double(bin_width);
+  const double b = double(left) / crowding(s) / double(bin_width);
   const auto bin = std::size_t(std::clamp(b, 0.0, double(bins - 2)));
-  const auto silent =
-      std::count_if(s.out.begin(), s.out.end(), [&](micros t) { return now - t > 4 * typical(); });
+  const micros long_ago = now - 4 * typical();
+  const auto silent = std::count_if(s.out.begin(), s.out.end(), [&](micros t) { return t < long_ago; });
   const double size = std::max<double>(1, double(s.window.bins.size()));
   return (s.window.bins.empty() ? 1.0 : s.window.row[bin]) * size / (size + 3.0 * double(silent));
 }
 
 // The latency to be expected of one call more.
 micros Balancer::foreseen(const Server& s) const {
-  const double n = s.samples.read(now, memory);
-  const double mean = (s.latency.read(now, memory) + double(typical())) / (n + 1);
-  const double beside = n < 0.01 ? 0 : s.crowd.read(now, memory) / n;
+  const micros usual = typical();
+  const double mean = (s.latency.read(now, memory) + double(usual)) / (s.samples.read(now, memory) + 1);
   const micros oldest = s.out.empty() ? 0 : now - *std::min_element(s.out.begin(), s.out.end());
-  return std::max(micros(mean * crowding(s, beside, terms.nodes)), oldest > 4 * typical() ? oldest : 0);
+  return std::max(micros(mean * crowding(s)), oldest > 4 * usual ? oldest : 0);
 }
 
 // Every latency and failure passes here on its way into the window.
@@ -178,7 +183,7 @@
   }
   s.failures = good ? 0 : s.failures + 1;
   // A window slides by trials alone too slowly to let a mended server back: a good trial starts it anew.
-  if (trial && good && latency <= 3 * usual) seed_window(s);
+  if (trial && good && latency <= 3 * usual) start_anew(s);
   if (trial) s.wait_factor = good ? 1 : std::min(8, 2 * s.wait_factor);
   s.window.take(good ? bin_of(latency) : bins - 1, window_length);
   // Fifty calls hide a few failures from the test: a run of them rebuilds untested, as trials do.
@@ -224,7 +229,7 @@
   const double pace_now = size > 0 ? sent / size * s.line.size / seen_for() * double(second) : 0;
   const double allowed = 0.4 * terms.tip_multiple * share * pace_now;  // calls a second
   if (s.credit_at < s.line.started || s.credit_at == 0) {
-    s.cold_credit = double(chance()) / 4294967296.0;
+    s.cold_credit = part_of_one();
     s.credit_at = now;
   }
   s.cold_credit += allowed * double(now - s.credit_at) / double(second);
@@ -237,7 +242,7 @@
 bool Balancer::may_post(const Txn& txn, const Server& s) const {
   if (txn.answered || txn.streaming || now >= txn.expiry) return false;  // rule 1
   if (int(txn.postings.size()) >= terms.most_postings) return false;
-  if (!s.known || s.told_off >= 0) return false;             // rule 3, without using the grace
+  if (!s.serving()) return false;                            // rule 3, without using the grace
   if (cold_share(s) < 1 && s.cold_credit < 1) return false;  // rule 4
   if (out_now(txn) > 0 && !terms.two_at_once) return false;  // rule 2, from here on
   const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
@@ -252,12 +257,17 @@
   return true;
 }
 
+// Whether all postings of a txn are known not to have run.
+bool Balancer::never_ran(const Txn& txn) const {
+  return std::all_of(txn.postings.begin(), txn.postings.end(), [](const Posting& p) { return p.never_ran; });
+}
+
 // A decline promises that a further try is harmless.
 bool Balancer::may_decline(const Txn& txn) const {
   const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
   if (row.kind == repeats::repeatable) return true;
   if (row.kind == repeats::referenced && row.within == group::all) return true;
-  return std::all_of(txn.postings.begin(), txn.postings.end(), [](const Posting& p) { return p.never_ran; });
+  return never_ran(txn);
 }
 
 // Every final answer of ours passes here.
@@ -272,8 +282,13 @@
 // Nothing more is owed or sent for the txn; what is still out is called off.
 void Balancer::close(const std::string& id, Txn& txn) {
   txn.answered = true;
-  for (std::size_t n = 0; n < txn.postings.size(); ++n)
-    if (!txn.postings[n].ended && terms.may_withdraw) todo_.withdrawals.push_back({id, int(n)});
+  withdraw_but(id, txn, -1);
+}
+
+void Balancer::withdraw_but(const std::string& id, const Txn& txn, int kept) {
+  if (!terms.may_withdraw) return;
+  for (int n = 0; n < int(txn.postings.size()); ++n)
+    if (n != kept && !txn.postings[std::size_t(n)].ended) todo_.withdrawals.push_back({id, n});
 }
 
 void Balancer::post(const std::string& id, Txn& txn, Server& s, bool trial) {
@@ -286,7 +301,7 @@
   if (!txn.postings.empty()) repeats_sent.add(now, memory, 1);
   txn.postings.push_back({&s, now, int(s.out.size()), trial, false, false});
   s.out.push_back(now);
-  todo_.sends.push_back({id, s.line.server, 0});
+  todo_.sends.push_back({id, s.line.server});
 }
 
 // ---- the choice ----
@@ -299,18 +314,19 @@
 
 Server* Balancer::choose(const Txn& txn, micros left, bool& trial) {
   trial = false;
-  std::vector<std::pair<double, Server*>> all, ranked;
+  std::vector<std::pair<double, Server*>> ranked;
+  bool all_fail = true;
   double in_flight = 0, size = 0, room_in_all = 0;
   const double worth = value(txn);
   const bool may_try =
       txn.postings.empty() && terms.schemes[std::size_t(txn.scheme)].kind != repeats::once_only;
   for (auto& [id, s] : servers) {
-    if (!s.known || s.told_off >= 0) continue;
+    if (!s.serving()) continue;
     in_flight += double(s.out.size());
     size += s.line.size;
     cold_allows(s);
     if (!may_post(txn, s)) continue;
-    all.emplace_back(0, &s);
+    all_fail = all_fail && s.failures >= failures_seen;
     const double has = room(s, worth);
     room_in_all += has;
     if (terms.tier == 0 && double(s.out.size()) >= std::max(1.0, has)) continue;
@@ -334,8 +350,7 @@
   };
   // A server that fails calls in a row is left to trials: where all others are crowded, its quick failures
   // would draw everything.
-  const auto failing = [](const auto& r) { return r.second->failures >= failures_seen; };
-  if (!std::all_of(all.begin(), all.end(), failing)) std::erase_if(ranked, failing);
+  if (!all_fail) std::erase_if(ranked, [](const auto& r) { return r.second->failures >= failures_seen; });
   if (ranked.empty()) return nullptr;
   pass_over(ranked, crowded);
   double best = -2;
@@ -386,8 +401,7 @@
   if (now - short_of_room_ > second) return false;
   bool fired = false;
   for (auto& [id, t] : txns) {
-    if (t.answered || t.streaming || now < t.sla || !may_decline(t)) continue;
-    if (terms.schemes[std::size_t(t.scheme)].late_revenue > 0) continue;
+    if (t.answered || t.streaming || !earns_no_more(t) || !may_decline(t)) continue;
     answer(id, t);
     fired = true;
   }
@@ -407,9 +421,13 @@
     for (double& e : earning_) e /= most;
 }
 
+bool Balancer::earns_no_more(const Txn& txn) const {
+  return now >= txn.sla && terms.schemes[std::size_t(txn.scheme)].late_revenue <= 0;
+}
+
 // The value of a txn, from 1 down.
 double Balancer::value(const Txn& txn) const {
-  if (terms.tier == 0 && now >= txn.sla && terms.schemes[std::size_t(txn.scheme)].late_revenue <= 0) return 0;
+  if (terms.tier == 0 && earns_no_more(txn)) return 0;
   return (txn.in_share ? 1 : terms.beyond_share) * (0.5 + 0.5 * earning_[std::size_t(txn.scheme)]);
 }
 
@@ -473,11 +491,9 @@
     if (t.answered || t.streaming || (now < t.expiry && !held(t))) continue;
     const scheme_row& row = terms.schemes[std::size_t(t.scheme)];
     const bool spent = int(t.postings.size()) >= terms.most_postings;
-    const bool proven =
-        std::all_of(t.postings.begin(), t.postings.end(), [](const Posting& p) { return p.never_ran; });
-    const bool stuck = !proven && row.kind == repeats::once_only;
+    const bool stuck = row.kind == repeats::once_only && !never_ran(t);
     const bool waited = terms.tier == 0 && now - t.taken > 2 * patience(t) && t.postings.empty();
-    const bool late = t.expiry - now <= 2 * pace || (now >= t.sla && row.late_revenue <= 0);
+    const bool late = t.expiry - now <= 2 * pace || earns_no_more(t);
     if (!spent && !stuck && !waited && !late) continue;
     answer(id, t);
     fired = true;
@@ -485,8 +501,8 @@
   return fired;
 }
 
-// A repeatable txn whose posting is silent for far longer than calls take gets a second one, where two at
-// once are allowed and the share of further postings is not used up.
+// A repeatable or referenced txn whose posting is silent for far longer than calls take gets a second one,
+// where two at once are allowed and the share of further postings is not used up.
 bool Balancer::copy_silent() {
   if (!terms.two_at_once) return false;
   bool fired = false;
@@ -510,8 +526,7 @@
   if (!terms.may_probe) return false;
   bool fired = false;
   for (auto& [id, s] : servers) {
-    if (!s.known || s.told_off >= 0 || s.probing || s.erring || s.unchosen < trial_after * s.wait_factor)
-      continue;
+    if (!s.serving() || s.probing || s.erring || s.unchosen < trial_after * s.wait_factor) continue;
     s.probing = true;
     s.unchosen = 0;
     todo_.probes.push_back(id);
@@ -538,7 +553,7 @@
   if (asked && asked_) {
     watching_ = true;
     asked_ = false;
-    ask_wait_ = std::max<micros>(second / 2, terms.ask_every / 10);
+    ask_wait_ = first_ask_wait();
   }
   if (whole)
     for (auto& [id, s] : servers) s.known = false;
@@ -550,11 +565,7 @@
     s.line.size = terms.sizes_told && line.size > 0 ? line.size : 1;
     s.known = true;
     s.told_off = !off ? -1 : s.told_off < 0 ? now : s.told_off;
-    if (fresh || again) {
-      s.failures = 0;
-      s.wait_factor = 1;
-      seed_window(s);
-    }
+    if (fresh || again) start_anew(s);
   }
   for (auto& [id, s] : servers)
     if (!s.known && s.told_off < 0) s.told_off = now;
@@ -566,27 +577,25 @@
 Decisions Balancer::list_failed(micros at) {
   now = at;
   watching_ = asked_ = false;
-  next_ask_ = now + micros(double(ask_wait_) * (0.5 + double(chance()) / 4294967296.0));
+  next_ask_ = now + micros(double(ask_wait_) * (0.5 + part_of_one()));
   ask_wait_ = std::min(2 * ask_wait_, std::max<micros>(second, terms.ask_every));
   return run();
 }
 
 Decisions Balancer::txn_taken(micros at, const std::string& id, int scheme, int tenant, micros left,
-                              double cost, bool repeat) {
+                              double cost) {
   now = at;
   Txn t;
   t.scheme = scheme;
-  t.tenant = tenant;
   t.taken = now;
   t.expiry = now + left;
   const scheme_row& row = terms.schemes[std::size_t(scheme)];
   t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
   // Clients wait a part of the expiry for one try, but no longer than the expiry for all: a shorter wait than
-  // the longest known part is what earlier tries have left, and the SLA time ran from the first.
+  // the longest known is what earlier tries have left, and the SLA time ran from the first.
   micros& longest = longest_wait_[std::size_t(scheme)];
   longest = std::max(longest, std::min(left, row.expiry));
   if (terms.tier == 0 && double(left) < 0.98 * double(longest)) t.sla -= row.expiry - left;
-  t.repeat = repeat;
   if (cost > 0) {  // a hint counts against the mean of the hints
     scheme_work.add(now, memory, cost);
     scheme_count.add(now, memory, 1);
@@ -639,11 +648,8 @@
 Decisions Balancer::stream_begun(micros at, const std::string& id, int n) {
   now = at;
   if (const auto it = txns.find(id); it != txns.end()) {
-    Txn& t = it->second;
-    t.streaming = true;
-    for (std::size_t i = 0; i < t.postings.size(); ++i)
-      if (int(i) != n && !t.postings[i].ended && terms.may_withdraw)
-        todo_.withdrawals.push_back({id, int(i)});
+    it->second.streaming = true;
+    withdraw_but(id, it->second, n);
   }
   return run();
 }
@@ -661,9 +667,7 @@
     s.probing = false;
     // A probe does no txn's work: it tells life and death, and its lag only where it is worse than a call's.
     if (ok && lag <= 3 * typical()) {
-      s.failures = 0;
-      s.wait_factor = 1;
-      seed_window(s);
+      start_anew(s);
     } else {
       s.failures++;
       s.wait_factor = std::min(8, 2 * s.wait_factor);
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -91,7 +91,6 @@
   Line line;
   line.server = text(need(entry, "Server"), "Server");
   line.zone = text(entry, "Dc", "");
-  line.kind = text(entry, "Flavor", "");
   if (const value* cell = find(entry, "UnitGroup")) line.cell = integer(*cell, "UnitGroup");
   line.size = number(entry, "Share", 1);
   line.started = time_of(entry, "ReadyAt", 0);
@@ -159,7 +158,7 @@
     return v ? object(*v, name) : nothing;
   };
   const value &allow = part("Permissions"), &rules = part("Guarantees"), &prices = part("Prices");
-  const value &stats_of = part("Stats"), &goal = part("Goal");
+  const value& stats_of = part("Stats");
   t.beyond_share = number(c, "BeyondShareRevenue", 1);
   t.zone = text(c, "Zone", "");
   if (const value* v = find(c, "Tier")) t.tier = integer(*v, "Tier");
@@ -167,16 +166,14 @@
   if (const value* v = find(c, "Stages")) t.tiers = int(array(*v, "Stages").Size());
   t.by_work = text(c, "RevenueBy", "request") == "work";
   t.ask_list = text(c, "Discovery", "automatic") == "subscribe";
-  t.told_time_left = flag(part("FamilyInfo"), "PassesDeadline");
-  t.tail_counts = number(goal, "Punctual", 0) > 0;
-  t.sizes_told = text(c, "Weights", "off") == "nominal" || text(c, "Weights", "off") == "rough";
+  const std::string weights = text(c, "Weights", "off");
+  t.sizes_told = weights == "nominal" || weights == "rough";
   t.may_probe = flag(allow, "Probes");
   t.may_withdraw = flag(allow, "Cancel");
   t.two_at_once = flag(allow, "SecondCopies");
   t.advice_heeded = flag(allow, "RetryAfter");
   t.most_postings = int(number(allow, "MostPostings", 1));
   t.longest_advice = time_of(allow, "MaxRetryAfter", 0);
-  t.drain_grace = time_of(rules, "DrainGrace", 0);
   t.ask_every = time_of(rules, "AskEvery", 10000);
   t.cold_for = time_of(rules, "Cold", 0);
   t.cold_from = number(rules, "ColdFrom", 1);
@@ -185,7 +182,6 @@
   t.price_crossing = number(prices, "CrossZone", 0);
   t.price_waste = number(prices, "Waste", 0);
   t.price_late = number(prices, "LateFail", 0);
-  t.price_probe = number(prices, "Probe", 0);
   if (const value* names = find(stats_of, "Names"))
     for (const value& n : array(*names, "Stats.Names").GetArray()) stats.push_back(text(n, "Stats.Names"));
   const value& salt = need(e, "Salt");
@@ -216,11 +212,11 @@
 // One batch: its events in order, and the reply as it grows.
 class Host::Batch {
  public:
-  Batch(Host& host, const value& batch, double seq) : host_(host), out_(buffer_) {
+  Batch(Host& host, const value& batch, std::int64_t seq) : host_(host), out_(buffer_) {
     now_ = time_of(batch, "Now");
     out_.StartObject();
     out_.Key("seq");
-    out_.Int64(std::int64_t(seq));
+    out_.Int64(seq);
     out_.Key("do");
     out_.StartArray();
     for (const value& happened : array(need(batch, "happened"), "happened").GetArray()) {
@@ -334,7 +330,7 @@
     }
     const int marks = find(e, "Marks") ? integer(*find(e, "Marks"), "Marks") : 0;
     const double cost = (marks & 1) != 0 ? number(e, "Predicted", 0) * 1000 : 0;
-    return b.txn_taken(now_, ticket(), known->second, tenant, time_of(e, "Grace"), cost, (marks & 2) != 0);
+    return b.txn_taken(now_, ticket(), known->second, tenant, time_of(e, "Grace"), cost);
   }
   if (name_ == "Wakeup") {
     robinpin::wirehost::text(need(e, "Token"), "Token");
@@ -377,7 +373,6 @@
     action("Attempt", [&] {
       put("Ticket", s.txn);
       put("Server", s.server);
-      if (s.wait > 0) put("MaxWait", s.wait);
     });
   for (const auto& p : d.probes) action("SoundOut", [&] { put("Server", p); });
   if (d.list == list_call::watch)
@@ -406,7 +401,7 @@
   if (!seq || !seq->IsInt64())
     throw malformed("batch of unknown seq: field seq is missing or not a whole number");
   try {
-    return Batch(*this, batch, double(seq->GetInt64())).text();
+    return Batch(*this, batch, seq->GetInt64()).text();
   } catch (const malformed& what) {
     throw malformed("batch seq " + std::to_string(seq->GetInt64()) + ": " + what.what());
   }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -130,7 +130,7 @@
   b.servers["a"].samples.add(noon, 5000 * ms, 20);
   b.txns["late"] = txn(0);
   b.txns["late"].sla = noon + 50 * ms;
-  const Decisions d = b.txn_taken(noon, "fresh", 0, -1, 1200 * ms, 0, false);
+  const Decisions d = b.txn_taken(noon, "fresh", 0, -1, 1200 * ms, 0);
   REQUIRE(d.finals.size() == 1);
   CHECK(d.finals[0].txn == "late");
   REQUIRE(d.sends.size() == 1);
@@ -140,8 +140,8 @@
 TEST_CASE(
     "a shorter wait than a scheme's longest tells a repeat, whose SLA time has run since its first try") {
   Balancer b = node({"a"});
-  b.txn_taken(noon, "first", 0, -1, 1000 * ms, 0, false);
-  const Decisions d = b.txn_taken(noon, "again", 0, -1, 400 * ms, 0, false);
+  b.txn_taken(noon, "first", 0, -1, 1000 * ms, 0);
+  const Decisions d = b.txn_taken(noon, "again", 0, -1, 400 * ms, 0);
   CHECK(b.txns["first"].sla == noon + 500 * ms);
   REQUIRE(d.finals.size() == 1);  // no server is idle, and it is past its SLA time
   CHECK(d.finals[0].txn == "again");
