--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -111,7 +111,7 @@
   micros told_off = -1;
   Window window;
   std::vector<micros> out;  // when our postings in flight were sent
-  int unchosen = 0;         // calls since it was last chosen
+  int chosen_at = 0;        // the node's count of calls when it was last chosen or probed
   int wait_factor = 1;      // trials that went wrong stretch the time to the next
   int failures = 0;         // in a row
   bool on_trial = false;
@@ -196,6 +196,7 @@
   Fading arrivals, repeats_sent, scheme_work, scheme_count;
   micros now = 0, bin_width = 1, started = 0;
   int bins = 1;
+  int calls = 0;  // postings so far
 
   // The gates, and what the rules are made of.
   bool may_post(const Txn& txn, const Server& server) const;
@@ -206,6 +207,7 @@
   micros foreseen(const Server& server) const;
   Server* choose(const Txn& txn, micros left, bool& trial);
   bool cold_allows(Server& server);
+  bool unchosen(const Server& server) const;
 
  private:
   using rule = bool (Balancer::*)();
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,12 +23,13 @@
 constexpr double cores_guess = 2;      // calls a server works on side by side, where nothing tells
 constexpr double room_factor = 1.6;    // room beyond the calm load by a txn's value, over all tiers
 constexpr micros second = 1'000'000;
+constexpr micros never = micros(1) << 60;
 constexpr micros memory = 5 * second;   // of the fading sums
 constexpr double crossing_worth = 1.5;  // times the latency elsewhere that home may take
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
 constexpr micros calm_memory = 300 * second;
-constexpr micros pace = 20'000;  // between looks at what is held or out
+constexpr micros pace = 20'000;  // between looks at what is held
 
 // Leaves out what the condition names, unless that is all there is.
 template <typename Ranked, typename Condition>
@@ -294,8 +295,7 @@
 void Balancer::post(const std::string& id, Txn& txn, Server& s, bool trial) {
   if (!may_post(txn, s)) return;
   if (cold_share(s) < 1) s.cold_credit -= txn.cost;
-  for (auto& [other_id, other] : servers) ++other.unchosen;
-  s.unchosen = 0;
+  s.chosen_at = ++calls;
   s.on_trial = s.on_trial || trial;
   s.sent.add(now, memory, txn.cost);
   if (!txn.postings.empty()) repeats_sent.add(now, memory, 1);
@@ -306,6 +306,8 @@
 
 // ---- the choice ----
 
+bool Balancer::unchosen(const Server& s) const { return calls - s.chosen_at >= trial_after * s.wait_factor; }
+
 // Time left to the SLA time, while it can be met; an answer after it earns nothing.
 micros Balancer::time_left(const Txn& txn) const {
   const micros to_sla = txn.sla - now, to_expiry = txn.expiry - now;
@@ -335,8 +337,7 @@
     const double rank = likely(s, left) - (used ? 1 : 0);
     ranked.emplace_back(rank, &s);
     // Unchosen for tp calls: the next call is its trial, once-only txns excepted.
-    if (may_try && (!terms.may_probe || s.erring) && !s.on_trial &&
-        s.unchosen >= trial_after * s.wait_factor) {
+    if (may_try && (!terms.may_probe || s.erring) && !s.on_trial && unchosen(s)) {
       trial = true;
       return &s;
     }
@@ -526,21 +527,29 @@
   if (!terms.may_probe) return false;
   bool fired = false;
   for (auto& [id, s] : servers) {
-    if (!s.serving() || s.probing || s.erring || s.unchosen < trial_after * s.wait_factor) continue;
+    if (!s.serving() || s.probing || s.erring || !unchosen(s)) continue;
     s.probing = true;
-    s.unchosen = 0;
+    s.chosen_at = calls;
     todo_.probes.push_back(id);
     fired = true;
   }
   return fired;
 }
 
+// Looked at again is what is held, every so often, and what is out when a rule may next act on it: hundreds
+// of nodes that look at each posting all the time would spend more on that than on choosing.
 bool Balancer::plan_wake() {
-  micros at = 0;
-  if (std::any_of(txns.begin(), txns.end(), [](const auto& t) { return !t.second.answered; }))
-    at = now + pace;
-  if (terms.ask_list && !watching_ && !asked_) at = at > 0 ? std::min(at, next_ask_) : next_ask_;
-  if (at == 0 || (wake_at_ > now && wake_at_ <= at)) return false;
+  micros at = terms.ask_list && !watching_ && !asked_ ? next_ask_ : never;
+  const micros silence = 4 * typical();
+  for (const auto& [id, t] : txns) {
+    if (t.answered || t.streaming) continue;
+    at = std::min(at, t.expiry);
+    if (out_now(t) == 0) at = std::min(at, now + pace);
+    if (t.sla > now) at = std::min(at, t.sla);
+    if (terms.two_at_once && t.postings.size() == 1 && now < t.sla)
+      at = std::min(at, std::max(now + 5 * pace, t.postings[0].sent + silence));
+  }
+  if (at == never || (wake_at_ > now && wake_at_ <= at)) return false;
   wake_at_ = at;
   todo_.wake_in = std::max<micros>(1, at - now);
   return false;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -75,7 +75,8 @@
   fill(b, "good", 50 * ms);
   fill(b, "left", 1100 * ms);
   b.build();
-  b.servers["left"].unchosen = unchosen;
+  b.calls = unchosen;
+  b.servers["good"].chosen_at = unchosen;
   bool trial = false;
   CHECK((b.choose(txn(scheme), 500 * ms, trial)->line.server == "left") == on_trial);
   CHECK(trial == on_trial);
