A server's trial is due after four of its turns where the fleet is larger than tp calls

Cause: with more servers than tp = 50 calls cover, each server was always unchosen, so most postings were trials in the map's order.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -196,7 +196,8 @@
   Fading arrivals, repeats_sent, scheme_work, scheme_count;
   micros now = 0, bin_width = 1, started = 0;
   int bins = 1;
-  int calls = 0;  // postings so far
+  int calls = 0;          // postings so far
+  double fleet_size = 0;  // of the servers in service
 
   // The gates, and what the rules are made of.
   bool may_post(const Txn& txn, const Server& server) const;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -14,6 +14,7 @@
 
 constexpr int window_length = 50;      // W
 constexpr int trial_after = 50;        // tp
+constexpr double fair_shares = 4;      // ... and so many times a server's fair share of the calls
 constexpr double ks_scale = 1.628;     // alpha 0.01
 constexpr double skip_factor = 2.0;    // over this many times the node's mean in flight: skipped
 constexpr int bins_per_sla = 25;       // h: the shortest SLA time in this many bins
@@ -306,7 +307,12 @@
 
 // ---- the choice ----
 
-bool Balancer::unchosen(const Server& s) const { return calls - s.chosen_at >= trial_after * s.wait_factor; }
+// Unchosen for tp calls; in a large fleet, where any server's turn comes later than that, for four of its turns:
+// else most of what hundreds of nodes send would be trials, and a dead server would get as much as a good one.
+bool Balancer::unchosen(const Server& s) const {
+  const double turn = fleet_size / std::max(1e-9, s.line.size);
+  return calls - s.chosen_at >= s.wait_factor * std::max<double>(trial_after, fair_shares * turn);
+}
 
 // Time left to the SLA time, while it can be met; an answer after it earns nothing.
 micros Balancer::time_left(const Txn& txn) const {
@@ -575,9 +581,13 @@
     s.known = true;
     s.told_off = !off ? -1 : s.told_off < 0 ? now : s.told_off;
     if (fresh || again) start_anew(s);
+    if (fresh) s.chosen_at = calls;
   }
-  for (auto& [id, s] : servers)
+  fleet_size = 0;
+  for (auto& [id, s] : servers) {
     if (!s.known && s.told_off < 0) s.told_off = now;
+    if (s.serving()) fleet_size += s.line.size;
+  }
   build();
   return run();
 }
