Tied servers are drawn by size, not evenly

Cause: the small boxes get as much as the large and turn slow; a node of hundreds sends too little to see it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -372,9 +372,18 @@
              double(foreseen(*r.second)) > crossing_worth * double(soonest);
     });
   }
-  // Ties at random; of two drawn, the one foreseen to answer sooner, since latency grows with what is sent.
-  Server* a = ranked[chance() % ranked.size()].second;
-  Server* b = ranked[chance() % ranked.size()].second;
+  // Ties at random, by size: what a node of hundreds sends is too little to show it that the small are crowded.
+  // Of two drawn, the one foreseen to answer sooner, since latency grows with what is sent.
+  double tied = 0;
+  for (const auto& r : ranked) tied += r.second->line.size;
+  const auto draw = [&] {
+    double left_over = tied * part_of_one();
+    const auto it = std::find_if(ranked.begin(), ranked.end() - 1,
+                                 [&](const auto& r) { return (left_over -= r.second->line.size) < 0; });
+    return it->second;
+  };
+  Server* a = draw();
+  Server* b = draw();
   return foreseen(*b) < foreseen(*a) ? b : a;
 }
 
