--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -64,6 +64,7 @@
 struct Line {
   std::string server;
   std::string zone;
+  std::string kind;  // of machine: only whether two are the same counts
   int cell = 0;
   double size = 1;
   standing state = standing::serving;
@@ -105,8 +106,16 @@
   bool changed() const;  // Kolmogorov-Smirnov against the reference
 };
 
-struct Server {
+// How long a server's or a kind's calls take, for their scheme and work, against the node's mean.
+struct Slowness {
+  Fading parts, taken;
+  double slow = 1;
+  void take(micros now, double part);
+};
+
+struct Server : Slowness {
   Line line;
+  Slowness* kind = nullptr;
   bool known = true;  // on the list as it stands
   micros told_off = -1;
   Window window;
@@ -190,6 +199,7 @@
   Terms terms;
   std::mt19937 chance;
   std::map<std::string, Server> servers;
+  std::map<std::string, Slowness> kinds;
   std::map<std::string, Txn> txns;
   std::array<std::uint16_t, most_bins> pooled{};
   std::vector<Fading> tenants;
@@ -209,6 +219,7 @@
   Server* choose(const Txn& txn, micros left, bool& trial);
   bool cold_allows(Server& server);
   bool unchosen(const Server& server) const;
+  double capacity(const Server& server) const;
 
  private:
   using rule = bool (Balancer::*)();
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -29,6 +29,8 @@
 constexpr double crossing_worth = 1.5;  // times the latency elsewhere that home may take
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
+constexpr micros slow_memory = 30 * second;
+constexpr double slow_lean = 3;         // samples' worth of the usual in a server's slowness
 constexpr micros calm_memory = 300 * second;
 constexpr micros pace = 20'000;  // between looks at what is held
 
@@ -40,6 +42,13 @@
 
 }  // namespace
 
+// Latencies of some hundred servers come to a node too seldom for a fading of seconds.
+void Slowness::take(micros now, double part) {
+  parts.add(now, slow_memory, std::min(part, 5.0));
+  taken.add(now, slow_memory, 1);
+  slow = (parts.sum + slow_lean) / (taken.sum + slow_lean);
+}
+
 void Window::take(int bin, int length) {
   bins.push_back(std::uint16_t(bin));
   ++count[std::size_t(bin)];
@@ -320,6 +329,12 @@
   return to_sla > 0 ? std::min(to_sla, to_expiry) : to_expiry;
 }
 
+// What a server can do against others: its size, where that is told, else what its kind's latencies show; either
+// way corrected by its own.
+double Balancer::capacity(const Server& s) const {
+  return s.line.size * cold_share(s) / (s.slow * (terms.sizes_told || !s.kind ? 1 : s.kind->slow));
+}
+
 Server* Balancer::choose(const Txn& txn, micros left, bool& trial) {
   trial = false;
   std::vector<std::pair<double, Server*>> ranked;
@@ -372,14 +387,14 @@
              double(foreseen(*r.second)) > crossing_worth * double(soonest);
     });
   }
-  // Ties at random, by size: what a node of hundreds sends is too little to show it that the small are crowded.
+  // Ties at random, by capacity: what a node of hundreds sends is too little to show it that the small are crowded.
   // Of two drawn, the one foreseen to answer sooner, since latency grows with what is sent.
   double tied = 0;
-  for (const auto& r : ranked) tied += r.second->line.size;
+  for (const auto& r : ranked) tied += capacity(*r.second);
   const auto draw = [&] {
     double left_over = tied * part_of_one();
     const auto it = std::find_if(ranked.begin(), ranked.end() - 1,
-                                 [&](const auto& r) { return (left_over -= r.second->line.size) < 0; });
+                                 [&](const auto& r) { return (left_over -= capacity(*r.second)) < 0; });
     return it->second;
   };
   Server* a = draw();
@@ -588,6 +603,7 @@
     s.line = line;
     s.line.size = terms.sizes_told && line.size > 0 ? line.size : 1;
     s.known = true;
+    s.kind = &kinds[line.kind];
     s.told_off = !off ? -1 : s.told_off < 0 ? now : s.told_off;
     if (fresh || again) start_anew(s);
     if (fresh) s.chosen_at = calls;
@@ -663,6 +679,10 @@
       scheme_latency_[std::size_t(t.scheme)].add(now, memory, double(lag));
       scheme_samples_[std::size_t(t.scheme)].add(now, memory, 1);
       weigh_schemes();
+      const auto i = std::size_t(t.scheme);
+      const double part = double(lag) / std::max(1.0, t.cost * scheme_latency_[i].sum / scheme_samples_[i].sum);
+      if (s.kind) s.kind->take(now, part);
+      s.take(now, part / (s.kind ? s.kind->slow : 1));
     }
     // A probe is answered by a server that fails its txns, too: such a one gets its trials from txns.
     s.erring = how == ending::error;
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -91,6 +91,7 @@
   Line line;
   line.server = text(need(entry, "Server"), "Server");
   line.zone = text(entry, "Dc", "");
+  line.kind = text(entry, "Flavor", "");
   if (const value* cell = find(entry, "UnitGroup")) line.cell = integer(*cell, "UnitGroup");
   line.size = number(entry, "Share", 1);
   line.started = time_of(entry, "ReadyAt", 0);
