A node keeps to as many servers as its pace keeps windows fresh for

Cause: a node of hundreds met each server every ten seconds or more; windows told of times long past, each trouble was learnt anew by every node. The circle is a row of a ring that all nodes draw alike, from a place of the node's own.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -40,6 +40,7 @@
   int tier = 0;
   int tiers = 1;
   int nodes = 1;
+  int me = 0;  // this node's number among them
   bool by_work = false;  // revenue is counted by work
   bool ask_list = false;
   bool sizes_told = false;
@@ -218,7 +219,9 @@
   micros foreseen(const Server& server) const;
   Server* choose(const Txn& txn, micros left, bool& trial);
   bool cold_allows(Server& server);
-  bool unchosen(const Server& server) const;
+  bool unchosen(const Server& server, double circle_size) const;
+  std::vector<Server*> circle() const;
+  void draw_rings();
   double capacity(const Server& server) const;
 
  private:
@@ -249,12 +252,15 @@
   void weigh_schemes();
   bool shed();
   micros patience(const Txn& txn) const;
-  double room(const Server& server, double worth) const;
+  double room(const Server& server, double worth, double circle_size) const;
+  double room_for(double floor, double settled, double worth) const;
+
   double cold_share(const Server& server) const;
   int out_now(const Txn& txn) const;
   bool held(const Txn& txn) const { return !txn.answered && out_now(txn) == 0; }
 
   Decisions todo_;
+  std::array<std::vector<Server*>, 2> rings_;  // servers in service: at home, and elsewhere
   Fading all_latency_, all_samples_;
   std::vector<micros> longest_wait_;  // by scheme: what a client's try had at the most
   std::vector<Fading> scheme_latency_, scheme_samples_;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,6 +31,8 @@
 constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
 constexpr micros slow_memory = 30 * second;
 constexpr double slow_lean = 3;         // samples' worth of the usual in a server's slowness
+constexpr micros circle_time = 2 * second;  // between calls to each server that a node keeps to
+constexpr double least_circle = 6;          // servers
 constexpr micros calm_memory = 300 * second;
 constexpr micros pace = 20'000;  // between looks at what is held
 
@@ -212,9 +214,12 @@
 // (calm latency) calls in flight; far more than that only wait, and a server kept crowded turns slow and
 // stays so. Txns of little value find less room, so that they give way first. Inner tiers send what they get:
 // it is paid for already.
-double Balancer::room(const Server& s, double worth) const {
-  const double settled = s.samples.read(now, memory) / seen_for();
-  const double floor = cores_guess * s.line.size / terms.nodes;
+double Balancer::room(const Server& s, double worth, double circle_size) const {
+  const double floor = cores_guess * s.line.size / circle_size * fleet_size / terms.nodes;
+  return room_for(floor, s.samples.read(now, memory) / seen_for(), worth);
+}
+
+double Balancer::room_for(double floor, double settled, double worth) const {
   return floor * (0.5 + worth) +
          (1 + room_factor / terms.tiers * worth) * settled * (calm_ > 0 ? calm_ : double(typical()));
 }
@@ -318,8 +323,8 @@
 
 // Unchosen for tp calls; in a large fleet, where any server's turn comes later than that, for four of its turns:
 // else most of what hundreds of nodes send would be trials, and a dead server would get as much as a good one.
-bool Balancer::unchosen(const Server& s) const {
-  const double turn = fleet_size / std::max(1e-9, s.line.size);
+bool Balancer::unchosen(const Server& s, double circle_size) const {
+  const double turn = circle_size / std::max(1e-9, s.line.size);
   return calls - s.chosen_at >= s.wait_factor * std::max<double>(trial_after, fair_shares * turn);
 }
 
@@ -335,37 +340,76 @@
   return s.line.size * cold_share(s) / (s.slow * (terms.sizes_told || !s.kind ? 1 : s.kind->slow));
 }
 
+// All nodes that know the same servers draw the same rings.
+void Balancer::draw_rings() {
+  std::array<std::vector<std::pair<std::uint32_t, Server*>>, 2> order;
+  fleet_size = 0;
+  for (auto& [id, s] : servers) {
+    if (!s.serving()) continue;
+    fleet_size += s.line.size;
+    std::uint32_t place = 2166136261U;
+    for (const char c : id) place = (place ^ std::uint8_t(c)) * 16777619U;
+    order[terms.price_crossing > 0 && s.line.zone != terms.zone].emplace_back(place, &s);
+  }
+  for (std::size_t r = 0; r < order.size(); ++r) {
+    std::sort(order[r].begin(), order[r].end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    rings_[r].clear();
+    for (const auto& [place, s] : order[r]) rings_[r].push_back(s);
+  }
+}
+
+// The servers this node keeps to, so that it meets each every circle_time or so and its windows say something:
+// of a ring that is the same at all nodes, as many in a row as its pace is good for, from a place of its own, so
+// that all servers have as many nodes. Those left to trials or cold are in it beside them, for what they can do.
+// Where crossings are priced the servers at home have a ring of their own.
+std::vector<Server*> Balancer::circle() const {
+  std::vector<Server*> found;
+  const double wanted = std::max(least_circle, arrivals.read(now, memory) / seen_for() * double(circle_time));
+  const double place = std::fmod(0.6180339887 * terms.me, 1.0);  // even for whichever part of the numbers
+  for (const auto& ring : rings_) {
+    const auto start = std::size_t(place * double(ring.size()));
+    double have = 0;
+    for (std::size_t i = 0; i < ring.size() && have < wanted; ++i) {
+      Server* s = ring[(start + i) % ring.size()];
+      if (!s->serving()) continue;
+      found.push_back(s);
+      if (s->failures < failures_seen) have += cold_share(*s);
+    }
+  }
+  return found;
+}
+
 Server* Balancer::choose(const Txn& txn, micros left, bool& trial) {
   trial = false;
   std::vector<std::pair<double, Server*>> ranked;
   bool all_fail = true;
-  double in_flight = 0, size = 0, room_in_all = 0;
+  double in_flight = 0, size = 0;
   const double worth = value(txn);
   const bool may_try =
       txn.postings.empty() && terms.schemes[std::size_t(txn.scheme)].kind != repeats::once_only;
-  for (auto& [id, s] : servers) {
-    if (!s.serving()) continue;
-    in_flight += double(s.out.size());
-    size += s.line.size;
-    cold_allows(s);
-    if (!may_post(txn, s)) continue;
-    all_fail = all_fail && s.failures >= failures_seen;
-    const double has = room(s, worth);
-    room_in_all += has;
-    if (terms.tier == 0 && double(s.out.size()) >= std::max(1.0, has)) continue;
+  const std::vector<Server*> near = circle();
+  for (const Server* s : near) size += s->line.size;
+  for (Server* s : near) {
+    in_flight += double(s->out.size());
+    cold_allows(*s);
+    if (!may_post(txn, *s)) continue;
+    all_fail = all_fail && s->failures >= failures_seen;
+    if (terms.tier == 0 && !s->out.empty() && double(s->out.size()) >= std::max(1.0, room(*s, worth, size))) continue;
     const bool used = std::any_of(txn.postings.begin(), txn.postings.end(),
-                                  [&](const Posting& p) { return p.server == &s; });
-    const double rank = likely(s, left) - (used ? 1 : 0);
-    ranked.emplace_back(rank, &s);
+                                  [&](const Posting& p) { return p.server == s; });
+    const double rank = likely(*s, left) - (used ? 1 : 0);
+    ranked.emplace_back(rank, s);
     // Unchosen for tp calls: the next call is its trial, once-only txns excepted.
-    if (may_try && (!terms.may_probe || s.erring) && !s.on_trial && unchosen(s)) {
+    if (may_try && (!terms.may_probe || s->erring) && !s->on_trial && unchosen(*s, size)) {
       trial = true;
-      return &s;
+      return s;
     }
   }
   if (ranked.empty()) return nullptr;
   // Each server may have one call at least, but not all of them from all nodes together.
-  if (terms.tier == 0 && in_flight >= std::max(1.0, room_in_all)) return nullptr;
+  const double settled = all_samples_.read(now, memory) / seen_for();
+  if (terms.tier == 0 && in_flight >= std::max(1.0, room_for(cores_guess * fleet_size / terms.nodes, settled, worth)))
+    return nullptr;
   const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / std::max(1e-9, size)));
   const auto crowded = [&](const auto& r) {
     return double(r.second->out.size()) > mean * r.second->line.size;
@@ -556,11 +600,14 @@
 bool Balancer::probe_unchosen() {
   if (!terms.may_probe) return false;
   bool fired = false;
-  for (auto& [id, s] : servers) {
-    if (!s.serving() || s.probing || s.erring || !unchosen(s)) continue;
-    s.probing = true;
-    s.chosen_at = calls;
-    todo_.probes.push_back(id);
+  double size = 0;
+  const std::vector<Server*> near = circle();
+  for (const Server* s : near) size += s->line.size;
+  for (Server* s : near) {
+    if (s->probing || s->erring || !unchosen(*s, size)) continue;
+    s->probing = true;
+    s->chosen_at = calls;
+    todo_.probes.push_back(s->line.server);
     fired = true;
   }
   return fired;
@@ -608,11 +655,9 @@
     if (fresh || again) start_anew(s);
     if (fresh) s.chosen_at = calls;
   }
-  fleet_size = 0;
-  for (auto& [id, s] : servers) {
+  for (auto& [id, s] : servers)
     if (!s.known && s.told_off < 0) s.told_off = now;
-    if (s.serving()) fleet_size += s.line.size;
-  }
+  draw_rings();
   build();
   return run();
 }
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -163,6 +163,7 @@
   t.beyond_share = number(c, "BeyondShareRevenue", 1);
   t.zone = text(c, "Zone", "");
   if (const value* v = find(c, "Tier")) t.tier = integer(*v, "Tier");
+  if (const value* v = find(c, "Me")) t.me = integer(*v, "Me");
   if (const value* v = find(c, "PeersTotal")) t.nodes = std::max(1, integer(*v, "PeersTotal"));
   if (const value* v = find(c, "Stages")) t.tiers = int(array(*v, "Stages").Size());
   t.by_work = text(c, "RevenueBy", "request") == "work";
--- a/tests/help.h
+++ b/tests/help.h
@@ -34,6 +34,7 @@
 inline Balancer node(std::initializer_list<const char*> names, Terms t = terms()) {
   Balancer b(std::move(t), 7, noon);
   for (const char* n : names) b.servers[n].line = line(n);
+  b.draw_rings();
   return b;
 }
 
