--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -111,7 +111,7 @@
 struct Slowness {
   Fading parts, taken;
   double slow = 1;
-  void take(micros now, double part);
+  void take(micros now, micros life, double part);
 };
 
 struct Server : Slowness {
@@ -133,6 +133,11 @@
   bool serving() const { return known && told_off < 0; }
 };
 
+struct Near {  // a server of the node's circle, and what part of it
+  Server* server = nullptr;
+  double part = 1;
+};
+
 struct Posting {
   Server* server = nullptr;
   micros sent = 0;
@@ -220,7 +225,8 @@
   Server* choose(const Txn& txn, micros left, bool& trial);
   bool cold_allows(Server& server);
   bool unchosen(const Server& server, double circle_size) const;
-  std::vector<Server*> circle() const;
+  std::vector<Near> circle() const;
+  double abroad() const;
   void draw_rings();
   double capacity(const Server& server) const;
 
@@ -260,6 +266,7 @@
   bool held(const Txn& txn) const { return !txn.answered && out_now(txn) == 0; }
 
   Decisions todo_;
+  Slowness at_home_, away_;
   std::array<std::vector<Server*>, 2> rings_;  // servers in service: at home, and elsewhere
   Fading all_latency_, all_samples_;
   std::vector<micros> longest_wait_;  // by scheme: what a client's try had at the most
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -26,7 +26,7 @@
 constexpr micros second = 1'000'000;
 constexpr micros never = micros(1) << 60;
 constexpr micros memory = 5 * second;   // of the fading sums
-constexpr double crossing_worth = 1.5;  // times the latency elsewhere that home may take
+constexpr double crossing_worth = 0.1;  // price of a crossing that doubled latency at home is worth, and more
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
 constexpr micros slow_memory = 30 * second;
@@ -45,9 +45,9 @@
 }  // namespace
 
 // Latencies of some hundred servers come to a node too seldom for a fading of seconds.
-void Slowness::take(micros now, double part) {
-  parts.add(now, slow_memory, std::min(part, 5.0));
-  taken.add(now, slow_memory, 1);
+void Slowness::take(micros now, micros life, double part) {
+  parts.add(now, life, std::min(part, 5.0));
+  taken.add(now, life, 1);
   slow = (parts.sum + slow_lean) / (taken.sum + slow_lean);
 }
 
@@ -359,37 +359,56 @@
 }
 
 // The servers this node keeps to, so that it meets each every circle_time or so and its windows say something:
-// of a ring that is the same at all nodes, as many in a row as its pace is good for, from a place of its own, so
-// that all servers have as many nodes. Those left to trials or cold are in it beside them, for what they can do.
-// Where crossings are priced the servers at home have a ring of their own.
-std::vector<Server*> Balancer::circle() const {
-  std::vector<Server*> found;
+// an arc, as long as its pace is good for, of a ring that is the same at all nodes, from a place of its own. The
+// ring is as long as the servers are large and each counts for what of it lies on the arc, so that all get alike.
+// Those left to trials or cold are in it beside them, for what they can do. Where crossings are priced the
+// servers at home have a ring of their own.
+std::vector<Near> Balancer::circle() const {
+  std::vector<Near> found;
   const double wanted = std::max(least_circle, arrivals.read(now, memory) / seen_for() * double(circle_time));
   const double place = std::fmod(0.6180339887 * terms.me, 1.0);  // even for whichever part of the numbers
   for (const auto& ring : rings_) {
-    const auto start = std::size_t(place * double(ring.size()));
-    double have = 0;
-    for (std::size_t i = 0; i < ring.size() && have < wanted; ++i) {
-      Server* s = ring[(start + i) % ring.size()];
-      if (!s->serving()) continue;
-      found.push_back(s);
-      if (s->failures < failures_seen) have += cold_share(*s);
+    double length = 0;
+    for (const Server* s : ring) length += s->line.size;
+    double before = place * length, left = wanted * length / std::max<double>(1, double(ring.size()));
+    std::size_t i = 0;
+    for (; i < ring.size() && before >= ring[i]->line.size; ++i) before -= ring[i]->line.size;
+    for (std::size_t n = 0; n < ring.size() && left > 0; ++n) {
+      Server* s = ring[(i + n) % ring.size()];
+      const double does = s->failures < failures_seen ? cold_share(*s) : 0.01;
+      const double on_arc = std::min(left / does, s->line.size - before);
+      found.push_back({s, on_arc / s->line.size});
+      left -= on_arc * does;
+      before = 0;
     }
   }
   return found;
 }
 
+// How much of the capacity away from home is drawn from: none while those at home are no slower, more the less
+// a crossing costs. One is tried now and then all the same, to know.
+double Balancer::abroad() const {
+  if (terms.price_crossing <= 0) return 1;
+  return std::clamp((at_home_.slow / away_.slow - 1) * crossing_worth / terms.price_crossing, 0.02, 1.0);
+}
+
 Server* Balancer::choose(const Txn& txn, micros left, bool& trial) {
   trial = false;
-  std::vector<std::pair<double, Server*>> ranked;
+  struct Row {
+    double rank;
+    Server* server;
+    double weight;
+  };
+  std::vector<Row> ranked;
+  const double away = abroad();
   bool all_fail = true;
   double in_flight = 0, size = 0;
   const double worth = value(txn);
   const bool may_try =
       txn.postings.empty() && terms.schemes[std::size_t(txn.scheme)].kind != repeats::once_only;
-  const std::vector<Server*> near = circle();
-  for (const Server* s : near) size += s->line.size;
-  for (Server* s : near) {
+  const std::vector<Near> near = circle();
+  for (const Near& n : near) size += n.part * n.server->line.size;
+  for (const auto& [s, part] : near) {
     in_flight += double(s->out.size());
     cold_allows(*s);
     if (!may_post(txn, *s)) continue;
@@ -398,7 +417,7 @@
     const bool used = std::any_of(txn.postings.begin(), txn.postings.end(),
                                   [&](const Posting& p) { return p.server == s; });
     const double rank = likely(*s, left) - (used ? 1 : 0);
-    ranked.emplace_back(rank, s);
+    ranked.push_back({rank, s, capacity(*s) * part * (s->line.zone == terms.zone ? 1 : away)});
     // Unchosen for tp calls: the next call is its trial, once-only txns excepted.
     if (may_try && (!terms.may_probe || s->erring) && !s->on_trial && unchosen(*s, size)) {
       trial = true;
@@ -412,34 +431,24 @@
     return nullptr;
   const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / std::max(1e-9, size)));
   const auto crowded = [&](const auto& r) {
-    return double(r.second->out.size()) > mean * r.second->line.size;
+    return double(r.server->out.size()) > mean * r.server->line.size;
   };
   // A server that fails calls in a row is left to trials: where all others are crowded, its quick failures
   // would draw everything.
-  if (!all_fail) std::erase_if(ranked, [](const auto& r) { return r.second->failures >= failures_seen; });
+  if (!all_fail) std::erase_if(ranked, [](const auto& r) { return r.server->failures >= failures_seen; });
   if (ranked.empty()) return nullptr;
   pass_over(ranked, crowded);
   double best = -2;
-  for (const auto& r : ranked) best = std::max(best, r.first);
-  std::erase_if(ranked, [&](const auto& r) { return r.first < best - 1.0 / window_length; });
-  // Among the tied a crossing is paid for only where the servers at home are crowded.
-  if (terms.price_crossing > 0) {
-    micros soonest = foreseen(*ranked[0].second);
-    for (const auto& r : ranked) soonest = std::min(soonest, foreseen(*r.second));
-    pass_over(ranked, [&](const auto& r) {
-      return r.second->line.zone != terms.zone ||
-             double(foreseen(*r.second)) > crossing_worth * double(soonest);
-    });
-  }
+  for (const auto& r : ranked) best = std::max(best, r.rank);
+  std::erase_if(ranked, [&](const auto& r) { return r.rank < best - 1.0 / window_length; });
   // Ties at random, by capacity: what a node of hundreds sends is too little to show it that the small are crowded.
   // Of two drawn, the one foreseen to answer sooner, since latency grows with what is sent.
   double tied = 0;
-  for (const auto& r : ranked) tied += capacity(*r.second);
+  for (const auto& r : ranked) tied += r.weight;
   const auto draw = [&] {
     double left_over = tied * part_of_one();
-    const auto it = std::find_if(ranked.begin(), ranked.end() - 1,
-                                 [&](const auto& r) { return (left_over -= capacity(*r.second)) < 0; });
-    return it->second;
+    return std::find_if(ranked.begin(), ranked.end() - 1, [&](const auto& r) { return (left_over -= r.weight) < 0; })
+        ->server;
   };
   Server* a = draw();
   Server* b = draw();
@@ -601,9 +610,9 @@
   if (!terms.may_probe) return false;
   bool fired = false;
   double size = 0;
-  const std::vector<Server*> near = circle();
-  for (const Server* s : near) size += s->line.size;
-  for (Server* s : near) {
+  const std::vector<Near> near = circle();
+  for (const Near& n : near) size += n.part * n.server->line.size;
+  for (const auto& [s, part] : near) {
     if (s->probing || s->erring || !unchosen(*s, size)) continue;
     s->probing = true;
     s->chosen_at = calls;
@@ -726,8 +735,9 @@
       weigh_schemes();
       const auto i = std::size_t(t.scheme);
       const double part = double(lag) / std::max(1.0, t.cost * scheme_latency_[i].sum / scheme_samples_[i].sum);
-      if (s.kind) s.kind->take(now, part);
-      s.take(now, part / (s.kind ? s.kind->slow : 1));
+      if (s.kind) s.kind->take(now, slow_memory, part);
+      s.take(now, slow_memory, part / (s.kind ? s.kind->slow : 1));
+      (s.line.zone == terms.zone ? at_home_ : away_).take(now, memory, part / (s.kind ? s.kind->slow : 1));
     }
     // A probe is answered by a server that fails its txns, too: such a one gets its trials from txns.
     s.erring = how == ending::error;
