The calm latency is taken over as many samples as a node of few calls has, and falls by parts

Cause: a node of two txns a second never had twenty samples in five seconds, so room followed its own declines.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -268,7 +268,7 @@
   Decisions todo_;
   Slowness at_home_, away_;
   std::array<std::vector<Server*>, 2> rings_;  // servers in service: at home, and elsewhere
-  Fading all_latency_, all_samples_;
+  Fading all_latency_, all_samples_, settled_;
   std::vector<micros> longest_wait_;  // by scheme: what a client's try had at the most
   std::vector<Fading> scheme_latency_, scheme_samples_;
   std::vector<double> earning_;  // by scheme, for its work, the best 1
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -146,8 +146,8 @@
 }
 
 micros Balancer::typical() const {
-  const double n = all_samples_.read(now, memory);
-  return n < 0.01 ? bin_width : std::max<micros>(1, micros(all_latency_.read(now, memory) / n));
+  const double n = all_samples_.sum;  // both fade alike
+  return n <= 0 ? bin_width : std::max<micros>(1, micros(all_latency_.sum / n));
 }
 
 // How the server's load now compares with its load when its samples were taken, by what this node can see:
@@ -187,11 +187,14 @@
     s.samples.add(now, memory, 1);
     // A few txns that cost many times the usual are no sign of crowding: they would shrink the room of all
     // others.
-    const bool known = all_samples_.read(now, memory) >= calm_samples;
-    all_latency_.add(now, memory, double(known ? std::min(latency, 3 * usual) : latency));
-    all_samples_.add(now, memory, 1);
+    // A node of few calls needs longer for a mean that says something.
+    const auto life = std::max(memory, micros(1.5 * calm_samples * seen_for() / arrivals.read(now, memory)));
+    const bool known = all_samples_.read(now, life) >= calm_samples;
+    all_latency_.add(now, life, double(known ? std::min(latency, 3 * usual) : latency));
+    all_samples_.add(now, life, 1);
+    settled_.add(now, memory, 1);
     const double risen = calm_ * (1 + double(now - calm_at_) / double(calm_memory));
-    if (known) calm_ = calm_ > 0 ? std::min(risen, double(usual)) : double(usual);
+    if (known) calm_ = calm_ <= 0 ? double(usual) : std::min(risen, calm_ + std::min(0.0, double(usual) - calm_) / calm_samples);
     calm_at_ = now;
   }
   s.failures = good ? 0 : s.failures + 1;
@@ -426,7 +429,7 @@
   }
   if (ranked.empty()) return nullptr;
   // Each server may have one call at least, but not all of them from all nodes together.
-  const double settled = all_samples_.read(now, memory) / seen_for();
+  const double settled = settled_.read(now, memory) / seen_for();
   if (terms.tier == 0 && in_flight >= std::max(1.0, room_for(cores_guess * fleet_size / terms.nodes, settled, worth)))
     return nullptr;
   const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / std::max(1e-9, size)));
@@ -558,7 +561,7 @@
       least = &entry;
   }
   if (!least) return false;
-  const double settled = all_samples_.read(now, memory) / seen_for();
+  const double settled = settled_.read(now, memory) / seen_for();
   if (double(waiting) <= 1 + settled * double(patience(least->second))) return false;
   answer(least->first, least->second);
   return true;
