--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -27,6 +27,7 @@
 constexpr micros never = micros(1) << 60;
 constexpr micros memory = 5 * second;   // of the fading sums
 constexpr double crossing_worth = 0.1;  // price of a crossing that doubled latency at home is worth, and more
+constexpr double crowded_home = 1.5;    // times the soonest foreseen
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
 constexpr micros slow_memory = 30 * second;
@@ -444,6 +445,13 @@
   double best = -2;
   for (const auto& r : ranked) best = std::max(best, r.rank);
   std::erase_if(ranked, [&](const auto& r) { return r.rank < best - 1.0 / window_length; });
+  // Those at home that are crowded give way, whatever a crossing costs.
+  if (terms.price_crossing > 0) {
+    micros soonest = never;
+    for (const auto& r : ranked) soonest = std::min(soonest, foreseen(*r.server));
+    const double slow = std::max(crowded_home * double(soonest), double(typical()));
+    pass_over(ranked, [&](const auto& r) { return r.server->line.zone == terms.zone && double(foreseen(*r.server)) > slow; });
+  }
   // Ties at random, by capacity: what a node of hundreds sends is too little to show it that the small are crowded.
   // Of two drawn, the one foreseen to answer sooner, since latency grows with what is sent.
   double tied = 0;
