--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -26,7 +26,7 @@
 constexpr micros second = 1'000'000;
 constexpr micros never = micros(1) << 60;
 constexpr micros memory = 5 * second;   // of the fading sums
-constexpr double crossing_worth = 0.1;  // price of a crossing that doubled latency at home is worth, and more
+constexpr double crossing_worth = 3;    // parts of latency at home that a point of a crossing's price is worth
 constexpr double crowded_home = 1.5;    // times the soonest foreseen
 constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
@@ -393,7 +393,8 @@
 // a crossing costs. One is tried now and then all the same, to know.
 double Balancer::abroad() const {
   if (terms.price_crossing <= 0) return 1;
-  return std::clamp((at_home_.slow / away_.slow - 1) * crossing_worth / terms.price_crossing, 0.02, 1.0);
+  const double worth_it = 1 + crossing_worth * terms.price_crossing;
+  return std::clamp((at_home_.slow / away_.slow - worth_it) / (worth_it - 1), 0.01, 1.0);
 }
 
 Server* Balancer::choose(const Txn& txn, micros left, bool& trial) {
