--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -234,7 +234,6 @@
   using rule = bool (Balancer::*)();
   Decisions run();
   bool ask_for_list();
-  bool call_off_late();
   bool post_next();
   bool copy_silent();
   bool give_up();
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -27,8 +27,8 @@
 constexpr micros never = micros(1) << 60;
 constexpr micros memory = 5 * second;   // of the fading sums
 constexpr double crossing_worth = 3;    // parts of latency at home that a point of a crossing's price is worth
+constexpr double call_off_price = 0.1;  // points of service a call-off may cost at the most
 constexpr double crowded_home = 1.5;    // times the soonest foreseen
-constexpr double call_off_price = 0.2;  // points of service a call-off may cost at the most
 constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
 constexpr micros slow_memory = 30 * second;
 constexpr double slow_lean = 3;         // samples' worth of the usual in a server's slowness
@@ -470,8 +470,8 @@
 // ---- the rules ----
 
 Decisions Balancer::run() {
-  static constexpr std::array<rule, 7> rules = {
-      &Balancer::ask_for_list, &Balancer::call_off_late,  &Balancer::post_next, &Balancer::give_up,
+  static constexpr std::array<rule, 6> rules = {
+      &Balancer::ask_for_list,  &Balancer::give_up, &Balancer::post_next,
       &Balancer::copy_silent,  &Balancer::probe_unchosen, &Balancer::plan_wake};
   for (bool fired = true; fired;) {
     fired = false;
@@ -489,21 +489,6 @@
   return true;
 }
 
-// While txns wait for room, one that can no longer earn is called off, where that costs little: its work is
-// better spent on those that can. A crowded fleet would answer late and nothing else.
-bool Balancer::call_off_late() {
-  if (terms.tier > 0 || !terms.may_withdraw || terms.price_waste + terms.price_late > call_off_price)
-    return false;
-  if (now - short_of_room_ > second) return false;
-  bool fired = false;
-  for (auto& [id, t] : txns) {
-    if (t.answered || t.streaming || !earns_no_more(t) || !may_decline(t)) continue;
-    answer(id, t);
-    fired = true;
-  }
-  return fired;
-}
-
 // What a scheme earns for its work, against the best of the house; its mean latency stands for its work.
 void Balancer::weigh_schemes() {
   double most = 0;
@@ -580,11 +565,16 @@
 micros Balancer::patience(const Txn& t) const { return (std::min(t.sla, t.expiry) - t.taken) / 4; }
 
 // At its expiry a txn gets its answer, whatever is out. A held one that can no longer be answered in time is
-// given up before, and told so at once.
+// given up before, and told so at once. While txns wait for room, one that is out and can no longer earn is called
+// off where that costs little: a crowded fleet would answer late and nothing else.
 bool Balancer::give_up() {
   bool fired = false;
+  const bool call_off = terms.tier == 0 && terms.may_withdraw && now - short_of_room_ <= second &&
+                        terms.price_waste + terms.price_late <= call_off_price;
   for (auto& [id, t] : txns) {
-    if (t.answered || t.streaming || (now < t.expiry && !held(t))) continue;
+    if (t.answered || t.streaming) continue;
+    const bool late_out = call_off && earns_no_more(t) && may_decline(t);
+    if (now < t.expiry && !held(t) && !late_out) continue;
     const scheme_row& row = terms.schemes[std::size_t(t.scheme)];
     const bool spent = int(t.postings.size()) >= terms.most_postings;
     const bool stuck = row.kind == repeats::once_only && !never_ran(t);
