--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -3,6 +3,7 @@
 // `Decisions`.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <cstdint>
@@ -40,7 +41,7 @@
   int tier = 0;
   int tiers = 1;
   int nodes = 1;
-  int me = 0;  // this node's number among them
+  int me = 0;            // this node's number among them
   bool by_work = false;  // revenue is counted by work
   bool ask_list = false;
   bool sizes_told = false;
@@ -103,7 +104,14 @@
   std::array<std::uint16_t, most_bins> reference{};  // as at the last build
   int reference_total = 0;
   std::array<float, most_bins> row{};  // F(b), the table's row, as at the last build
-  void take(int bin, int length);
+  void take(int bin, int length) {
+    bins.push_back(std::uint16_t(bin));
+    ++count[std::size_t(bin)];
+    if (int(bins.size()) > length) {
+      --count[bins.front()];
+      bins.pop_front();
+    }
+  }
   bool changed() const;  // Kolmogorov-Smirnov against the reference
 };
 
@@ -111,7 +119,11 @@
 struct Slowness {
   Fading parts, taken;
   double slow = 1;
-  void take(micros now, micros life, double part);
+  void take(micros now, micros life, double part) {
+    parts.add(now, life, std::min(part, 5.0));
+    taken.add(now, life, 1);
+    slow = (parts.sum + 3) / (taken.sum + 3);  // three samples' worth of the usual
+  }
 };
 
 struct Server : Slowness {
@@ -127,15 +139,16 @@
   bool on_trial = false;
   bool erring = false;  // its last txn ended in an error
   bool probing = false;
-  Fading latency, samples, crowd, sent;
+  Fading latency, samples, crowd;
   double cold_credit = 0;
   micros credit_at = 0;
   bool serving() const { return known && told_off < 0; }
 };
 
-struct Near {  // a server of the node's circle, and what part of it
+struct Near {  // a server of the node's circle, what part of it, and its place in the table
   Server* server = nullptr;
   double part = 1;
+  double rank = 0;
 };
 
 struct Posting {
@@ -209,7 +222,7 @@
   std::map<std::string, Txn> txns;
   std::array<std::uint16_t, most_bins> pooled{};
   std::vector<Fading> tenants;
-  Fading arrivals, repeats_sent, scheme_work, scheme_count;
+  Fading arrivals, sent, repeats_sent, scheme_work, scheme_count;
   micros now = 0, bin_width = 1, started = 0;
   int bins = 1;
   int calls = 0;          // postings so far
@@ -223,7 +236,7 @@
   double likely(const Server& server, micros left) const;
   micros foreseen(const Server& server) const;
   Server* choose(const Txn& txn, micros left, bool& trial);
-  bool cold_allows(Server& server);
+  bool cold_allows(Server& server, double circle_size);
   bool unchosen(const Server& server, double circle_size) const;
   std::vector<Near> circle() const;
   double abroad() const;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -25,13 +25,12 @@
 constexpr double room_factor = 1.6;    // room beyond the calm load by a txn's value, over all tiers
 constexpr micros second = 1'000'000;
 constexpr micros never = micros(1) << 60;
-constexpr micros memory = 5 * second;   // of the fading sums
-constexpr double crossing_worth = 3;    // parts of latency at home that a point of a crossing's price is worth
+constexpr micros memory = 5 * second;  // of the fading sums
+constexpr double crossing_worth = 3;   // parts of latency at home that a point of a crossing's price is worth
 constexpr double call_off_price = 0.1;  // points of service a call-off may cost at the most
 constexpr double crowded_home = 1.5;    // times the soonest foreseen
 constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
 constexpr micros slow_memory = 30 * second;
-constexpr double slow_lean = 3;         // samples' worth of the usual in a server's slowness
 constexpr micros circle_time = 2 * second;  // between calls to each server that a node keeps to
 constexpr double least_circle = 6;          // servers
 constexpr micros calm_memory = 300 * second;
@@ -45,22 +44,6 @@
 
 }  // namespace
 
-// Latencies of some hundred servers come to a node too seldom for a fading of seconds.
-void Slowness::take(micros now, micros life, double part) {
-  parts.add(now, life, std::min(part, 5.0));
-  taken.add(now, life, 1);
-  slow = (parts.sum + slow_lean) / (taken.sum + slow_lean);
-}
-
-void Window::take(int bin, int length) {
-  bins.push_back(std::uint16_t(bin));
-  ++count[std::size_t(bin)];
-  if (int(bins.size()) > length) {
-    --count[bins.front()];
-    bins.pop_front();
-  }
-}
-
 bool Window::changed() const {
   const double n = double(bins.size()), m = reference_total;
   if (n == 0) return false;
@@ -195,7 +178,9 @@
     all_samples_.add(now, life, 1);
     settled_.add(now, memory, 1);
     const double risen = calm_ * (1 + double(now - calm_at_) / double(calm_memory));
-    if (known) calm_ = calm_ <= 0 ? double(usual) : std::min(risen, calm_ + std::min(0.0, double(usual) - calm_) / calm_samples);
+    if (known)
+      calm_ = calm_ <= 0 ? double(usual)
+                         : std::min(risen, calm_ + std::min(0.0, double(usual) - calm_) / calm_samples);
     calm_at_ = now;
   }
   s.failures = good ? 0 : s.failures + 1;
@@ -237,16 +222,10 @@
 
 // A cold server gets credit at the pace at which this node sends to a warm one of its size, times its share
 // of warmth. Credit starts at a random part of a call, so that the nodes' first calls do not come together.
-bool Balancer::cold_allows(Server& s) {
+bool Balancer::cold_allows(Server& s, double circle_size) {
   const double share = cold_share(s);
   if (share >= 1) return true;
-  double sent = 0, size = 0;
-  for (const auto& [id, other] : servers)
-    if (other.known && cold_share(other) >= 1) {
-      sent += other.sent.read(now, memory);
-      size += other.line.size;
-    }
-  const double pace_now = size > 0 ? sent / size * s.line.size / seen_for() * double(second) : 0;
+  const double pace_now = sent.read(now, memory) / seen_for() * double(second) * s.line.size / circle_size;
   const double allowed = 0.4 * terms.tip_multiple * share * pace_now;  // calls a second
   if (s.credit_at < s.line.started || s.credit_at == 0) {
     s.cold_credit = part_of_one();
@@ -316,7 +295,7 @@
   if (cold_share(s) < 1) s.cold_credit -= txn.cost;
   s.chosen_at = ++calls;
   s.on_trial = s.on_trial || trial;
-  s.sent.add(now, memory, txn.cost);
+  sent.add(now, memory, txn.cost);
   if (!txn.postings.empty()) repeats_sent.add(now, memory, 1);
   txn.postings.push_back({&s, now, int(s.out.size()), trial, false, false});
   s.out.push_back(now);
@@ -325,8 +304,9 @@
 
 // ---- the choice ----
 
-// Unchosen for tp calls; in a large fleet, where any server's turn comes later than that, for four of its turns:
-// else most of what hundreds of nodes send would be trials, and a dead server would get as much as a good one.
+// Unchosen for tp calls; in a large fleet, where any server's turn comes later than that, for four of its
+// turns: else most of what hundreds of nodes send would be trials, and a dead server would get as much as a
+// good one.
 bool Balancer::unchosen(const Server& s, double circle_size) const {
   const double turn = circle_size / std::max(1e-9, s.line.size);
   return calls - s.chosen_at >= s.wait_factor * std::max<double>(trial_after, fair_shares * turn);
@@ -338,8 +318,8 @@
   return to_sla > 0 ? std::min(to_sla, to_expiry) : to_expiry;
 }
 
-// What a server can do against others: its size, where that is told, else what its kind's latencies show; either
-// way corrected by its own.
+// What a server can do against others: its size, where that is told, else what its kind's latencies show;
+// either way corrected by its own.
 double Balancer::capacity(const Server& s) const {
   return s.line.size * cold_share(s) / (s.slow * (terms.sizes_told || !s.kind ? 1 : s.kind->slow));
 }
@@ -356,17 +336,18 @@
     order[terms.price_crossing > 0 && s.line.zone != terms.zone].emplace_back(place, &s);
   }
   for (std::size_t r = 0; r < order.size(); ++r) {
-    std::sort(order[r].begin(), order[r].end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::sort(order[r].begin(), order[r].end(),
+              [](const auto& a, const auto& b) { return a.first < b.first; });
     rings_[r].clear();
     for (const auto& [place, s] : order[r]) rings_[r].push_back(s);
   }
 }
 
-// The servers this node keeps to, so that it meets each every circle_time or so and its windows say something:
-// an arc, as long as its pace is good for, of a ring that is the same at all nodes, from a place of its own. The
-// ring is as long as the servers are large and each counts for what of it lies on the arc, so that all get alike.
-// Those left to trials or cold are in it beside them, for what they can do. Where crossings are priced the
-// servers at home have a ring of their own.
+// The servers this node keeps to, so that it meets each every circle_time or so and its windows say
+// something: an arc, as long as its pace is good for, of a ring that is the same at all nodes, from a place
+// of its own. The ring is as long as the servers are large and each counts for what of it lies on the arc, so
+// that all get alike. Those left to trials or cold are in it beside them, for what they can do. Where
+// crossings are priced the servers at home have a ring of their own.
 std::vector<Near> Balancer::circle() const {
   std::vector<Near> found;
   const double wanted = std::max(least_circle, arrivals.read(now, memory) / seen_for() * double(circle_time));
@@ -389,8 +370,8 @@
   return found;
 }
 
-// How much of the capacity away from home is drawn from: none while those at home are no slower, more the less
-// a crossing costs. One is tried now and then all the same, to know.
+// How much of the capacity away from home is drawn from: none while those at home are no slower, more the
+// less a crossing costs. One is tried now and then all the same, to know.
 double Balancer::abroad() const {
   if (terms.price_crossing <= 0) return 1;
   const double worth_it = 1 + crossing_worth * terms.price_crossing;
@@ -399,12 +380,7 @@
 
 Server* Balancer::choose(const Txn& txn, micros left, bool& trial) {
   trial = false;
-  struct Row {
-    double rank;
-    Server* server;
-    double weight;
-  };
-  std::vector<Row> ranked;
+  std::vector<Near> ranked;
   const double away = abroad();
   bool all_fail = true;
   double in_flight = 0, size = 0;
@@ -413,16 +389,17 @@
       txn.postings.empty() && terms.schemes[std::size_t(txn.scheme)].kind != repeats::once_only;
   const std::vector<Near> near = circle();
   for (const Near& n : near) size += n.part * n.server->line.size;
-  for (const auto& [s, part] : near) {
+  for (const auto& [s, part, none] : near) {
     in_flight += double(s->out.size());
-    cold_allows(*s);
+    cold_allows(*s, size);
     if (!may_post(txn, *s)) continue;
     all_fail = all_fail && s->failures >= failures_seen;
-    if (terms.tier == 0 && !s->out.empty() && double(s->out.size()) >= std::max(1.0, room(*s, worth, size))) continue;
+    if (terms.tier == 0 && !s->out.empty() && double(s->out.size()) >= std::max(1.0, room(*s, worth, size)))
+      continue;
     const bool used = std::any_of(txn.postings.begin(), txn.postings.end(),
                                   [&](const Posting& p) { return p.server == s; });
     const double rank = likely(*s, left) - (used ? 1 : 0);
-    ranked.push_back({rank, s, capacity(*s) * part * (s->line.zone == terms.zone ? 1 : away)});
+    ranked.push_back({s, capacity(*s) * part * (s->line.zone == terms.zone ? 1 : away), rank});
     // Unchosen for tp calls: the next call is its trial, once-only txns excepted.
     if (may_try && (!terms.may_probe || s->erring) && !s->on_trial && unchosen(*s, size)) {
       trial = true;
@@ -432,7 +409,8 @@
   if (ranked.empty()) return nullptr;
   // Each server may have one call at least, but not all of them from all nodes together.
   const double settled = settled_.read(now, memory) / seen_for();
-  if (terms.tier == 0 && in_flight >= std::max(1.0, room_for(cores_guess * fleet_size / terms.nodes, settled, worth)))
+  if (terms.tier == 0 &&
+      in_flight >= std::max(1.0, room_for(cores_guess * fleet_size / terms.nodes, settled, worth)))
     return nullptr;
   const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / std::max(1e-9, size)));
   const auto crowded = [&](const auto& r) {
@@ -451,15 +429,18 @@
     micros soonest = never;
     for (const auto& r : ranked) soonest = std::min(soonest, foreseen(*r.server));
     const double slow = std::max(crowded_home * double(soonest), double(typical()));
-    pass_over(ranked, [&](const auto& r) { return r.server->line.zone == terms.zone && double(foreseen(*r.server)) > slow; });
+    pass_over(ranked, [&](const auto& r) {
+      return r.server->line.zone == terms.zone && double(foreseen(*r.server)) > slow;
+    });
   }
-  // Ties at random, by capacity: what a node of hundreds sends is too little to show it that the small are crowded.
-  // Of two drawn, the one foreseen to answer sooner, since latency grows with what is sent.
+  // Ties at random, by capacity: what a node of hundreds sends is too little to show it that the small are
+  // crowded. Of two drawn, the one foreseen to answer sooner, since latency grows with what is sent.
   double tied = 0;
-  for (const auto& r : ranked) tied += r.weight;
+  for (const auto& r : ranked) tied += r.part;
   const auto draw = [&] {
     double left_over = tied * part_of_one();
-    return std::find_if(ranked.begin(), ranked.end() - 1, [&](const auto& r) { return (left_over -= r.weight) < 0; })
+    return std::find_if(ranked.begin(), ranked.end() - 1,
+                        [&](const auto& r) { return (left_over -= r.part) < 0; })
         ->server;
   };
   Server* a = draw();
@@ -470,9 +451,9 @@
 // ---- the rules ----
 
 Decisions Balancer::run() {
-  static constexpr std::array<rule, 6> rules = {
-      &Balancer::ask_for_list,  &Balancer::give_up, &Balancer::post_next,
-      &Balancer::copy_silent,  &Balancer::probe_unchosen, &Balancer::plan_wake};
+  static constexpr std::array<rule, 6> rules = {&Balancer::ask_for_list,   &Balancer::give_up,
+                                                &Balancer::post_next,      &Balancer::copy_silent,
+                                                &Balancer::probe_unchosen, &Balancer::plan_wake};
   for (bool fired = true; fired;) {
     fired = false;
     for (rule r : rules) fired = (this->*r)() || fired;
@@ -565,8 +546,8 @@
 micros Balancer::patience(const Txn& t) const { return (std::min(t.sla, t.expiry) - t.taken) / 4; }
 
 // At its expiry a txn gets its answer, whatever is out. A held one that can no longer be answered in time is
-// given up before, and told so at once. While txns wait for room, one that is out and can no longer earn is called
-// off where that costs little: a crowded fleet would answer late and nothing else.
+// given up before, and told so at once. While txns wait for room, one that is out and can no longer earn is
+// called off where that costs little: a crowded fleet would answer late and nothing else.
 bool Balancer::give_up() {
   bool fired = false;
   const bool call_off = terms.tier == 0 && terms.may_withdraw && now - short_of_room_ <= second &&
@@ -614,7 +595,7 @@
   double size = 0;
   const std::vector<Near> near = circle();
   for (const Near& n : near) size += n.part * n.server->line.size;
-  for (const auto& [s, part] : near) {
+  for (const auto& [s, part, none] : near) {
     if (s->probing || s->erring || !unchosen(*s, size)) continue;
     s->probing = true;
     s->chosen_at = calls;
@@ -736,7 +717,8 @@
       scheme_samples_[std::size_t(t.scheme)].add(now, memory, 1);
       weigh_schemes();
       const auto i = std::size_t(t.scheme);
-      const double part = double(lag) / std::max(1.0, t.cost * scheme_latency_[i].sum / scheme_samples_[i].sum);
+      const double part =
+          double(lag) / std::max(1.0, t.cost * scheme_latency_[i].sum / scheme_samples_[i].sum);
       if (s.kind) s.kind->take(now, slow_memory, part);
       s.take(now, slow_memory, part / (s.kind ? s.kind->slow : 1));
       (s.line.zone == terms.zone ? at_home_ : away_).take(now, memory, part / (s.kind ? s.kind->slow : 1));
--- a/tests/gate_test.cpp
+++ b/tests/gate_test.cpp
@@ -121,12 +121,12 @@
   t.tip_window = 1500 * ms;
   Balancer b = node({"warm", "cold"}, t);
   b.started = noon - 60'000 * ms;
-  b.servers["warm"].sent.add(noon, 5000 * ms, 100);  // twenty a second
+  b.sent.add(noon, 5000 * ms, 100);  // twenty a second
   Server& cold = b.servers["cold"];
   cold.line.started = noon - ms;
   int sent = 0;
   for (b.now = noon; b.now < noon + 1500 * ms; b.now += ms)
-    if (b.cold_allows(cold)) {
+    if (b.cold_allows(cold, 1)) {
       cold.cold_credit -= 1;
       ++sent;
     }
