Inner tiers pass over servers without room while others have it

Cause: inner servers turn slow under what the front lets in; nothing kept a node of an inner tier from its crowded servers but the skip.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -414,7 +414,8 @@
     return nullptr;
   const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / std::max(1e-9, size)));
   const auto crowded = [&](const auto& r) {
-    return double(r.server->out.size()) > mean * r.server->line.size;
+    const auto out = double(r.server->out.size());
+    return out > mean * r.server->line.size || out > std::max(1.0, room(*r.server, 1, size));
   };
   // A server that fails calls in a row is left to trials: where all others are crowded, its quick failures
   // would draw everything.
