--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -95,6 +95,21 @@
   }
 };
 
+// A mean over what has not faded yet; both sums fade alike, so that it stands still between samples.
+struct Mean {
+  Fading sum, count;
+  void take(micros now, micros life, double x) {
+    sum.add(now, life, x);
+    count.add(now, life, 1);
+  }
+  double mean(double absent) const { return count.sum > 0 ? sum.sum / count.sum : absent; }
+  double leaning(micros now, micros life, double usual, double samples) const {
+    return (sum.read(now, life) + samples * usual) / (count.read(now, life) + samples);
+  }
+  // Of parts of the usual: leaning on it by three samples.
+  double slow() const { return (sum.sum + 3) / (count.sum + 3); }
+};
+
 constexpr int most_bins = 256;
 
 // The sliding histogram of one server's last latencies.
@@ -115,21 +130,11 @@
   bool changed() const;  // Kolmogorov-Smirnov against the reference
 };
 
-// How long a server's or a kind's calls take, for their scheme and work, against the node's mean.
-struct Slowness {
-  Fading parts, taken;
-  double slow = 1;
-  void take(micros now, micros life, double part) {
-    parts.add(now, life, std::min(part, 5.0));
-    taken.add(now, life, 1);
-    slow = (parts.sum + 3) / (taken.sum + 3);  // three samples' worth of the usual
-  }
-};
-
-struct Server : Slowness {
+struct Server {
   Line line;
-  Slowness* kind = nullptr;
-  bool known = true;  // on the list as it stands
+  Mean* kind = nullptr;  // how long calls of its kind of machine take, for their scheme and work
+  Mean pace;             // and its own, against its kind's
+  bool known = true;     // on the list as it stands
   micros told_off = -1;
   Window window;
   std::vector<micros> out;  // when our postings in flight were sent
@@ -139,7 +144,7 @@
   bool on_trial = false;
   bool erring = false;  // its last txn ended in an error
   bool probing = false;
-  Fading latency, samples, crowd;
+  Mean latency, crowd;
   double cold_credit = 0;
   micros credit_at = 0;
   bool serving() const { return known && told_off < 0; }
@@ -151,6 +156,11 @@
   double rank = 0;
 };
 
+struct Circle {
+  std::vector<Near> servers;
+  double size = 0;
+};
+
 struct Posting {
   Server* server = nullptr;
   micros sent = 0;
@@ -170,6 +180,13 @@
   bool streaming = false;  // its answer has begun: the client's, without expiry
   bool answered = false;
   std::vector<Posting> postings;
+  auto out() const {
+    return std::count_if(postings.begin(), postings.end(), [](const Posting& p) { return !p.ended; });
+  }
+  bool never_ran() const {
+    return std::all_of(postings.begin(), postings.end(), [](const Posting& p) { return p.never_ran; });
+  }
+  bool held() const { return !answered && out() == 0; }
 };
 
 enum class list_call { none, watch };
@@ -218,11 +235,12 @@
   Terms terms;
   std::mt19937 chance;
   std::map<std::string, Server> servers;
-  std::map<std::string, Slowness> kinds;
+  std::map<std::string, Mean> kinds;
   std::map<std::string, Txn> txns;
   std::array<std::uint16_t, most_bins> pooled{};
   std::vector<Fading> tenants;
-  Fading arrivals, sent, repeats_sent, scheme_work, scheme_count;
+  Fading arrivals, sent, repeats_sent;
+  Mean hints;
   micros now = 0, bin_width = 1, started = 0;
   int bins = 1;
   int calls = 0;          // postings so far
@@ -238,12 +256,17 @@
   Server* choose(const Txn& txn, micros left, bool& trial);
   bool cold_allows(Server& server, double circle_size);
   bool unchosen(const Server& server, double circle_size) const;
-  std::vector<Near> circle() const;
+  Circle circle() const;
   double abroad() const;
   void draw_rings();
   double capacity(const Server& server) const;
 
  private:
+  struct Seen {
+    micros longest_wait = 0;  // what a client's try had at the most
+    Mean latency;
+    double earning = 0;  // for its work, the best 1
+  };
   using rule = bool (Balancer::*)();
   Decisions run();
   bool ask_for_list();
@@ -266,25 +289,21 @@
   micros typical() const;
   double value(const Txn& txn) const;
   bool earns_no_more(const Txn& txn) const;
-  bool never_ran(const Txn& txn) const;
   void weigh_schemes();
-  bool shed();
   micros patience(const Txn& txn) const;
   double room(const Server& server, double worth, double circle_size) const;
-  double room_for(double floor, double settled, double worth) const;
+  double room_for(double floor, const Fading& settled, double worth) const;
 
   double cold_share(const Server& server) const;
-  int out_now(const Txn& txn) const;
-  bool held(const Txn& txn) const { return !txn.answered && out_now(txn) == 0; }
 
   Decisions todo_;
-  Slowness at_home_, away_;
-  std::array<std::vector<Server*>, 2> rings_;  // servers in service: at home, and elsewhere
-  Fading all_latency_, all_samples_, settled_;
-  std::vector<micros> longest_wait_;  // by scheme: what a client's try had at the most
-  std::vector<Fading> scheme_latency_, scheme_samples_;
-  std::vector<double> earning_;  // by scheme, for its work, the best 1
-  double calm_ = 0;              // the lowest mean latency seen of late
+  Mean at_home_, away_;  // parts of the usual latency
+  std::array<std::vector<std::pair<std::uint32_t, Server*>>, 2>
+      rings_;  // servers in service: at home, and elsewhere
+  Mean all_latency_;
+  Fading settled_;
+  std::vector<Seen> seen_;  // by scheme
+  double calm_ = 0;         // the lowest mean latency seen of late
   micros calm_at_ = 0;
   micros short_of_room_ = -(micros(1) << 60);
   micros next_ask_ = 0, ask_wait_ = 0, wake_at_ = 0;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace robinpin {
@@ -59,15 +60,10 @@
 
 Balancer::Balancer(Terms t, std::uint32_t seed, micros at)
     : terms(std::move(t)), chance(seed), now(at), started(at) {
-  const std::size_t schemes = terms.schemes.size();
   tenants.resize(terms.allowances.size());
-  longest_wait_.resize(schemes);
-  scheme_latency_.resize(schemes);
-  scheme_samples_.resize(schemes);
-  earning_.resize(schemes);
+  seen_.resize(terms.schemes.size());
   weigh_schemes();
-  micros shortest = second, longest = second;
-  if (!terms.schemes.empty()) shortest = longest = terms.schemes[0].sla;
+  micros shortest = terms.schemes.empty() ? second : terms.schemes[0].sla, longest = shortest;
   for (const auto& s : terms.schemes) {
     shortest = std::min(shortest, s.sla);
     longest = std::max(longest, s.expiry);
@@ -110,16 +106,14 @@
 void Balancer::start_anew(Server& server) {
   server.failures = 0;
   server.wait_factor = 1;
-  int total = 0, seen = 0;
-  for (std::size_t b = 0; b + 1 < std::size_t(bins); ++b)
-    total += pooled[b];  // their overruns are not its own
   server.window.bins.clear();
   server.window.count.fill(0);
-  if (total == 0) return;
-  int taken = 0;
-  for (int b = 0; b + 1 < bins; ++b) {
+  // Their overruns are not its own.
+  const int total = std::accumulate(pooled.begin(), pooled.begin() + bins - 1, 0);
+  for (int b = 0, taken = 0, seen = 0; b + 1 < bins; ++b) {
     seen += pooled[std::size_t(b)];
-    for (; taken < pooled_samples && (2 * taken + 1) * total <= 2 * pooled_samples * seen; ++taken)
+    for (; taken < pooled_samples && (2 * taken + 1) * total <= 2 * pooled_samples * seen && total > 0;
+         ++taken)
       server.window.take(b, window_length);
   }
 }
@@ -129,16 +123,12 @@
   return double(memory) * std::max(0.05, 1 - std::exp(-double(now - started) / double(memory)));
 }
 
-micros Balancer::typical() const {
-  const double n = all_samples_.sum;  // both fade alike
-  return n <= 0 ? bin_width : std::max<micros>(1, micros(all_latency_.sum / n));
-}
+micros Balancer::typical() const { return std::max<micros>(1, micros(all_latency_.mean(double(bin_width)))); }
 
 // How the server's load now compares with its load when its samples were taken, by what this node can see:
 // its own calls in flight, the other nodes taken to do as this one did.
 double Balancer::crowding(const Server& s) const {
-  const double n = s.samples.read(now, memory), capacity = cores_guess * s.line.size;
-  const double beside = n < 0.01 ? 0 : s.crowd.read(now, memory) / n;
+  const double capacity = cores_guess * s.line.size, beside = s.crowd.mean(0);
   const double others = double(terms.nodes - 1) * beside;
   return (capacity + double(s.out.size()) + others) / (capacity + beside + others);
 }
@@ -158,7 +148,7 @@
 // The latency to be expected of one call more.
 micros Balancer::foreseen(const Server& s) const {
   const micros usual = typical();
-  const double mean = (s.latency.read(now, memory) + double(usual)) / (s.samples.read(now, memory) + 1);
+  const double mean = s.latency.leaning(now, memory, double(usual), 1);
   const micros oldest = s.out.empty() ? 0 : now - *std::min_element(s.out.begin(), s.out.end());
   return std::max(micros(mean * crowding(s)), oldest > 4 * usual ? oldest : 0);
 }
@@ -167,15 +157,12 @@
 void Balancer::sample(Server& s, bool good, micros latency, bool trial) {
   const micros usual = typical();
   if (good) {
-    s.latency.add(now, memory, double(latency));
-    s.samples.add(now, memory, 1);
+    s.latency.take(now, memory, double(latency));
     // A few txns that cost many times the usual are no sign of crowding: they would shrink the room of all
-    // others.
-    // A node of few calls needs longer for a mean that says something.
+    // others. A node of few calls needs longer for a mean that says something.
     const auto life = std::max(memory, micros(1.5 * calm_samples * seen_for() / arrivals.read(now, memory)));
-    const bool known = all_samples_.read(now, life) >= calm_samples;
-    all_latency_.add(now, life, double(known ? std::min(latency, 3 * usual) : latency));
-    all_samples_.add(now, life, 1);
+    const bool known = all_latency_.count.read(now, life) >= calm_samples;
+    all_latency_.take(now, life, double(known ? std::min(latency, 3 * usual) : latency));
     settled_.add(now, memory, 1);
     const double risen = calm_ * (1 + double(now - calm_at_) / double(calm_memory));
     if (known)
@@ -194,23 +181,18 @@
 
 // ---- the gates ----
 
-int Balancer::out_now(const Txn& txn) const {
-  return int(
-      std::count_if(txn.postings.begin(), txn.postings.end(), [](const Posting& p) { return !p.ended; }));
-}
-
 // How many of this node's calls a server has room for. What answers at its calm pace has (settled a second) x
 // (calm latency) calls in flight; far more than that only wait, and a server kept crowded turns slow and
 // stays so. Txns of little value find less room, so that they give way first. Inner tiers send what they get:
 // it is paid for already.
 double Balancer::room(const Server& s, double worth, double circle_size) const {
   const double floor = cores_guess * s.line.size / circle_size * fleet_size / terms.nodes;
-  return room_for(floor, s.samples.read(now, memory) / seen_for(), worth);
+  return room_for(floor, s.latency.count, worth);
 }
 
-double Balancer::room_for(double floor, double settled, double worth) const {
-  return floor * (0.5 + worth) +
-         (1 + room_factor / terms.tiers * worth) * settled * (calm_ > 0 ? calm_ : double(typical()));
+double Balancer::room_for(double floor, const Fading& settled, double worth) const {
+  return floor * (0.5 + worth) + (1 + room_factor / terms.tiers * worth) * settled.read(now, memory) /
+                                     seen_for() * (calm_ > 0 ? calm_ : double(typical()));
 }
 
 // What a cold server can do at the least, as a share of its full capacity.
@@ -243,7 +225,7 @@
   if (int(txn.postings.size()) >= terms.most_postings) return false;
   if (!s.serving()) return false;                            // rule 3, without using the grace
   if (cold_share(s) < 1 && s.cold_credit < 1) return false;  // rule 4
-  if (out_now(txn) > 0 && !terms.two_at_once) return false;  // rule 2, from here on
+  if (txn.out() > 0 && !terms.two_at_once) return false;     // rule 2, from here on
   const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
   if (row.kind == repeats::repeatable) return true;
   for (const Posting& p : txn.postings) {
@@ -256,17 +238,11 @@
   return true;
 }
 
-// Whether all postings of a txn are known not to have run.
-bool Balancer::never_ran(const Txn& txn) const {
-  return std::all_of(txn.postings.begin(), txn.postings.end(), [](const Posting& p) { return p.never_ran; });
-}
-
 // A decline promises that a further try is harmless.
 bool Balancer::may_decline(const Txn& txn) const {
   const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
-  if (row.kind == repeats::repeatable) return true;
-  if (row.kind == repeats::referenced && row.within == group::all) return true;
-  return never_ran(txn);
+  return row.kind == repeats::repeatable || (row.kind == repeats::referenced && row.within == group::all) ||
+         txn.never_ran();
 }
 
 // Every final answer of ours passes here.
@@ -314,33 +290,27 @@
 
 // Time left to the SLA time, while it can be met; an answer after it earns nothing.
 micros Balancer::time_left(const Txn& txn) const {
-  const micros to_sla = txn.sla - now, to_expiry = txn.expiry - now;
-  return to_sla > 0 ? std::min(to_sla, to_expiry) : to_expiry;
+  return (txn.sla > now ? std::min(txn.sla, txn.expiry) : txn.expiry) - now;
 }
 
 // What a server can do against others: its size, where that is told, else what its kind's latencies show;
 // either way corrected by its own.
 double Balancer::capacity(const Server& s) const {
-  return s.line.size * cold_share(s) / (s.slow * (terms.sizes_told || !s.kind ? 1 : s.kind->slow));
+  return s.line.size * cold_share(s) / (s.pace.slow() * (terms.sizes_told || !s.kind ? 1 : s.kind->slow()));
 }
 
 // All nodes that know the same servers draw the same rings.
 void Balancer::draw_rings() {
-  std::array<std::vector<std::pair<std::uint32_t, Server*>>, 2> order;
+  rings_ = {};
   fleet_size = 0;
   for (auto& [id, s] : servers) {
     if (!s.serving()) continue;
     fleet_size += s.line.size;
     std::uint32_t place = 2166136261U;
     for (const char c : id) place = (place ^ std::uint8_t(c)) * 16777619U;
-    order[terms.price_crossing > 0 && s.line.zone != terms.zone].emplace_back(place, &s);
-  }
-  for (std::size_t r = 0; r < order.size(); ++r) {
-    std::sort(order[r].begin(), order[r].end(),
-              [](const auto& a, const auto& b) { return a.first < b.first; });
-    rings_[r].clear();
-    for (const auto& [place, s] : order[r]) rings_[r].push_back(s);
+    rings_[terms.price_crossing > 0 && s.line.zone != terms.zone].emplace_back(place, &s);
   }
+  for (auto& ring : rings_) std::sort(ring.begin(), ring.end());
 }
 
 // The servers this node keeps to, so that it meets each every circle_time or so and its windows say
@@ -348,21 +318,22 @@
 // of its own. The ring is as long as the servers are large and each counts for what of it lies on the arc, so
 // that all get alike. Those left to trials or cold are in it beside them, for what they can do. Where
 // crossings are priced the servers at home have a ring of their own.
-std::vector<Near> Balancer::circle() const {
-  std::vector<Near> found;
+Circle Balancer::circle() const {
+  Circle found;
   const double wanted = std::max(least_circle, arrivals.read(now, memory) / seen_for() * double(circle_time));
   const double place = std::fmod(0.6180339887 * terms.me, 1.0);  // even for whichever part of the numbers
   for (const auto& ring : rings_) {
     double length = 0;
-    for (const Server* s : ring) length += s->line.size;
+    for (const auto& [at, s] : ring) length += s->line.size;
     double before = place * length, left = wanted * length / std::max<double>(1, double(ring.size()));
     std::size_t i = 0;
-    for (; i < ring.size() && before >= ring[i]->line.size; ++i) before -= ring[i]->line.size;
+    for (; i < ring.size() && before >= ring[i].second->line.size; ++i) before -= ring[i].second->line.size;
     for (std::size_t n = 0; n < ring.size() && left > 0; ++n) {
-      Server* s = ring[(i + n) % ring.size()];
+      Server* s = ring[(i + n) % ring.size()].second;
       const double does = s->failures < failures_seen ? cold_share(*s) : 0.01;
       const double on_arc = std::min(left / does, s->line.size - before);
-      found.push_back({s, on_arc / s->line.size});
+      found.servers.push_back({s, on_arc / s->line.size});
+      found.size += on_arc;
       left -= on_arc * does;
       before = 0;
     }
@@ -375,7 +346,7 @@
 double Balancer::abroad() const {
   if (terms.price_crossing <= 0) return 1;
   const double worth_it = 1 + crossing_worth * terms.price_crossing;
-  return std::clamp((at_home_.slow / away_.slow - worth_it) / (worth_it - 1), 0.01, 1.0);
+  return std::clamp((at_home_.slow() / away_.slow() - worth_it) / (worth_it - 1), 0.01, 1.0);
 }
 
 Server* Balancer::choose(const Txn& txn, micros left, bool& trial) {
@@ -383,39 +354,38 @@
   std::vector<Near> ranked;
   const double away = abroad();
   bool all_fail = true;
-  double in_flight = 0, size = 0;
+  double in_flight = 0;
   const double worth = value(txn);
   const bool may_try =
       txn.postings.empty() && terms.schemes[std::size_t(txn.scheme)].kind != repeats::once_only;
-  const std::vector<Near> near = circle();
-  for (const Near& n : near) size += n.part * n.server->line.size;
-  for (const auto& [s, part, none] : near) {
+  const Circle near = circle();
+  for (const auto& [s, part, none] : near.servers) {
     in_flight += double(s->out.size());
-    cold_allows(*s, size);
+    cold_allows(*s, near.size);
     if (!may_post(txn, *s)) continue;
     all_fail = all_fail && s->failures >= failures_seen;
-    if (terms.tier == 0 && !s->out.empty() && double(s->out.size()) >= std::max(1.0, room(*s, worth, size)))
+    if (terms.tier == 0 && !s->out.empty() &&
+        double(s->out.size()) >= std::max(1.0, room(*s, worth, near.size)))
       continue;
     const bool used = std::any_of(txn.postings.begin(), txn.postings.end(),
                                   [&](const Posting& p) { return p.server == s; });
     const double rank = likely(*s, left) - (used ? 1 : 0);
     ranked.push_back({s, capacity(*s) * part * (s->line.zone == terms.zone ? 1 : away), rank});
     // Unchosen for tp calls: the next call is its trial, once-only txns excepted.
-    if (may_try && (!terms.may_probe || s->erring) && !s->on_trial && unchosen(*s, size)) {
+    if (may_try && (!terms.may_probe || s->erring) && !s->on_trial && unchosen(*s, near.size)) {
       trial = true;
       return s;
     }
   }
   if (ranked.empty()) return nullptr;
   // Each server may have one call at least, but not all of them from all nodes together.
-  const double settled = settled_.read(now, memory) / seen_for();
   if (terms.tier == 0 &&
-      in_flight >= std::max(1.0, room_for(cores_guess * fleet_size / terms.nodes, settled, worth)))
+      in_flight >= std::max(1.0, room_for(cores_guess * fleet_size / terms.nodes, settled_, worth)))
     return nullptr;
-  const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / std::max(1e-9, size)));
+  const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / std::max(1e-9, near.size)));
   const auto crowded = [&](const auto& r) {
     const auto out = double(r.server->out.size());
-    return out > mean * r.server->line.size || out > std::max(1.0, room(*r.server, 1, size));
+    return out > mean * r.server->line.size || out > std::max(1.0, room(*r.server, 1, near.size));
   };
   // A server that fails calls in a row is left to trials: where all others are crowded, its quick failures
   // would draw everything.
@@ -459,7 +429,7 @@
     fired = false;
     for (rule r : rules) fired = (this->*r)() || fired;
   }
-  std::erase_if(txns, [&](const auto& e) { return e.second.answered && out_now(e.second) == 0; });
+  std::erase_if(txns, [&](const auto& e) { return e.second.answered && e.second.out() == 0; });
   return std::exchange(todo_, {});
 }
 
@@ -475,13 +445,11 @@
 void Balancer::weigh_schemes() {
   double most = 0;
   for (std::size_t i = 0; i < terms.schemes.size(); ++i) {
-    const double n = scheme_samples_[i].read(now, memory);
-    const double work = (scheme_latency_[i].read(now, memory) + double(typical())) / (n + 1);
-    earning_[i] = terms.schemes[i].revenue / (terms.by_work ? 1 : std::max(1.0, work));
-    most = std::max(most, earning_[i]);
+    const double work = seen_[i].latency.leaning(now, memory, double(typical()), 1);
+    seen_[i].earning = terms.schemes[i].revenue / (terms.by_work ? 1 : std::max(1.0, work));
+    most = std::max(most, seen_[i].earning);
   }
-  if (most > 0)
-    for (double& e : earning_) e /= most;
+  for (Seen& scheme : seen_) scheme.earning /= std::max(1e-9, most);
 }
 
 bool Balancer::earns_no_more(const Txn& txn) const {
@@ -491,55 +459,39 @@
 // The value of a txn, from 1 down.
 double Balancer::value(const Txn& txn) const {
   if (terms.tier == 0 && earns_no_more(txn)) return 0;
-  return (txn.in_share ? 1 : terms.beyond_share) * (0.5 + 0.5 * earning_[std::size_t(txn.scheme)]);
+  return (txn.in_share ? 1 : terms.beyond_share) * (0.5 + 0.5 * seen_[std::size_t(txn.scheme)].earning);
 }
 
 // Held txns go out, the most valuable first, while there is room. Those that the best server would hardly
-// answer in time are declined at once.
+// answer in time are declined at once. Where more are held than can go out while the least of them may wait,
+// that one is declined: of what waits, most should end in an answer.
 bool Balancer::post_next() {
-  Txn* next = nullptr;
-  const std::string* id = nullptr;
-  for (auto& [i, t] : txns)
-    if (held(t) &&
-        (!next || value(t) > value(*next) || (value(t) == value(*next) && t.taken < next->taken))) {
-      next = &t;
-      id = &i;
-    }
-  if (!next) return false;
+  std::vector<std::pair<const std::string, Txn>*> held;
+  for (auto& entry : txns)
+    if (entry.second.held()) held.push_back(&entry);
+  if (held.empty()) return false;
+  const auto before = [&](const auto* a, const auto* b) {
+    const double x = value(a->second), y = value(b->second);
+    return x != y ? x > y : a->second.taken < b->second.taken;
+  };
+  auto& [id, next] = **std::min_element(held.begin(), held.end(), before);
   bool trial = false;
-  Server* s = choose(*next, time_left(*next), trial);
-  if (!s) {
-    short_of_room_ = now;
-    return shed();
-  }
-  // Held for no use, it would keep those behind it waiting; an idle server is tried all the same.
-  if (terms.tier == 0 && !trial && next->postings.empty() && !s->out.empty() &&
-      double(foreseen(*s)) > (0.4 + 0.3 * value(*next)) * double(time_left(*next))) {
-    answer(*id, *next);
+  if (Server* s = choose(next, time_left(next), trial)) {
+    // Held for no use, it would keep those behind it waiting; an idle server is tried all the same.
+    if (terms.tier == 0 && !trial && next.postings.empty() && !s->out.empty() &&
+        double(foreseen(*s)) > (0.4 + 0.3 * value(next)) * double(time_left(next)))
+      answer(id, next);
+    else
+      post(id, next, *s, trial);
     return true;
   }
-  post(*id, *next, *s, trial);
-  return true;
-}
-
-// No room: where more are held than can go out while the least of them may wait, that one is declined at
-// once. Of what waits, most should end in an answer.
-bool Balancer::shed() {
-  if (terms.tier > 0) return false;
-  std::pair<const std::string, Txn>* least = nullptr;
-  int waiting = 0;
-  for (auto& entry : txns) {
-    Txn& t = entry.second;
-    if (!held(t) || !t.postings.empty()) continue;
-    ++waiting;
-    if (!least || value(t) < value(least->second) ||
-        (value(t) == value(least->second) && t.taken > least->second.taken))
-      least = &entry;
-  }
-  if (!least) return false;
-  const double settled = settled_.read(now, memory) / seen_for();
-  if (double(waiting) <= 1 + settled * double(patience(least->second))) return false;
-  answer(least->first, least->second);
+  short_of_room_ = now;
+  std::erase_if(held, [](const auto* e) { return !e->second.postings.empty(); });
+  if (terms.tier > 0 || held.empty()) return false;
+  auto& [least_id, least] = **std::max_element(held.begin(), held.end(), before);
+  const double could_go = settled_.read(now, memory) / seen_for() * double(patience(least));
+  if (double(held.size()) <= 1 + could_go) return false;
+  answer(least_id, least);
   return true;
 }
 
@@ -556,10 +508,10 @@
   for (auto& [id, t] : txns) {
     if (t.answered || t.streaming) continue;
     const bool late_out = call_off && earns_no_more(t) && may_decline(t);
-    if (now < t.expiry && !held(t) && !late_out) continue;
+    if (now < t.expiry && !t.held() && !late_out) continue;
     const scheme_row& row = terms.schemes[std::size_t(t.scheme)];
     const bool spent = int(t.postings.size()) >= terms.most_postings;
-    const bool stuck = row.kind == repeats::once_only && !never_ran(t);
+    const bool stuck = row.kind == repeats::once_only && !t.never_ran();
     const bool waited = terms.tier == 0 && now - t.taken > 2 * patience(t) && t.postings.empty();
     const bool late = t.expiry - now <= 2 * pace || earns_no_more(t);
     if (!spent && !stuck && !waited && !late) continue;
@@ -575,7 +527,7 @@
   if (!terms.two_at_once) return false;
   bool fired = false;
   for (auto& [id, t] : txns) {
-    if (t.answered || t.streaming || out_now(t) != 1 || t.postings.size() != 1) continue;
+    if (t.answered || t.streaming || t.out() != 1 || t.postings.size() != 1) continue;
     if (terms.schemes[std::size_t(t.scheme)].kind == repeats::once_only) continue;
     const micros silent = now - t.postings[0].sent;
     if (silent < 4 * typical() || now >= t.sla) continue;
@@ -593,11 +545,9 @@
 bool Balancer::probe_unchosen() {
   if (!terms.may_probe) return false;
   bool fired = false;
-  double size = 0;
-  const std::vector<Near> near = circle();
-  for (const Near& n : near) size += n.part * n.server->line.size;
-  for (const auto& [s, part, none] : near) {
-    if (s->probing || s->erring || !unchosen(*s, size)) continue;
+  const Circle near = circle();
+  for (const auto& [s, part, none] : near.servers) {
+    if (s->probing || s->erring || !unchosen(*s, near.size)) continue;
     s->probing = true;
     s->chosen_at = calls;
     todo_.probes.push_back(s->line.server);
@@ -614,7 +564,7 @@
   for (const auto& [id, t] : txns) {
     if (t.answered || t.streaming) continue;
     at = std::min(at, t.expiry);
-    if (out_now(t) == 0) at = std::min(at, now + pace);
+    if (t.out() == 0) at = std::min(at, now + pace);
     if (t.sla > now) at = std::min(at, t.sla);
     if (terms.two_at_once && t.postings.size() == 1 && now < t.sla)
       at = std::min(at, std::max(now + 5 * pace, t.postings[0].sent + silence));
@@ -675,13 +625,12 @@
   t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
   // Clients wait a part of the expiry for one try, but no longer than the expiry for all: a shorter wait than
   // the longest known is what earlier tries have left, and the SLA time ran from the first.
-  micros& longest = longest_wait_[std::size_t(scheme)];
+  micros& longest = seen_[std::size_t(scheme)].longest_wait;
   longest = std::max(longest, std::min(left, row.expiry));
   if (terms.tier == 0 && double(left) < 0.98 * double(longest)) t.sla -= row.expiry - left;
   if (cost > 0) {  // a hint counts against the mean of the hints
-    scheme_work.add(now, memory, cost);
-    scheme_count.add(now, memory, 1);
-    t.cost = cost * scheme_count.read(now, memory) / scheme_work.read(now, memory);
+    hints.take(now, memory, cost);
+    t.cost = cost / hints.mean(cost);
   }
   arrivals.add(now, memory, 1);
   if (tenant >= 0 && terms.tier == 0) {
@@ -706,23 +655,21 @@
   Server& s = *p.server;
   p.ended = true;
   p.never_ran = how == ending::refused || how == ending::unreachable || how == ending::moot;
-  const auto out = std::find(s.out.begin(), s.out.end(), p.sent);
-  if (out != s.out.end()) s.out.erase(out);
+  if (const auto o = std::find(s.out.begin(), s.out.end(), p.sent); o != s.out.end()) s.out.erase(o);
   if (p.trial) s.on_trial = false;
   // A posting that we called off, or that was never sent, says of its server only how long it was silent.
   const bool telling = how != ending::moot && (how != ending::withdrawn || lag > 4 * typical());
   if (telling) {
     if (how == ending::settled) {
-      s.crowd.add(now, memory, double(p.beside));
-      scheme_latency_[std::size_t(t.scheme)].add(now, memory, double(lag));
-      scheme_samples_[std::size_t(t.scheme)].add(now, memory, 1);
+      s.crowd.take(now, memory, double(p.beside));
+      Mean& usual = seen_[std::size_t(t.scheme)].latency;
+      usual.take(now, memory, double(lag));
       weigh_schemes();
-      const auto i = std::size_t(t.scheme);
-      const double part =
-          double(lag) / std::max(1.0, t.cost * scheme_latency_[i].sum / scheme_samples_[i].sum);
+      const double part = std::min(5.0, double(lag) / std::max(1.0, t.cost * usual.mean(1)));
       if (s.kind) s.kind->take(now, slow_memory, part);
-      s.take(now, slow_memory, part / (s.kind ? s.kind->slow : 1));
-      (s.line.zone == terms.zone ? at_home_ : away_).take(now, memory, part / (s.kind ? s.kind->slow : 1));
+      const double of_kind = part / (s.kind ? s.kind->slow() : 1);
+      s.pace.take(now, slow_memory, of_kind);
+      (s.line.zone == terms.zone ? at_home_ : away_).take(now, memory, of_kind);
     }
     // A probe is answered by a server that fails its txns, too: such a one gets its trials from txns.
     s.erring = how == ending::error;
@@ -756,12 +703,10 @@
     // A probe does no txn's work: it tells life and death, and its lag only where it is worse than a call's.
     if (ok && lag <= 3 * typical()) {
       start_anew(s);
+      build();
     } else {
-      s.failures++;
-      s.wait_factor = std::min(8, 2 * s.wait_factor);
-      s.window.take(bins - 1, window_length);
+      sample(s, false, lag, true);
     }
-    build();
   }
   return run();
 }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -127,8 +127,7 @@
   fill(b, "a", 100 * ms);
   b.build();
   b.servers["a"].out = {noon};
-  b.servers["a"].latency.add(noon, 5000 * ms, 20.0 * 100 * ms);
-  b.servers["a"].samples.add(noon, 5000 * ms, 20);
+  for (int i = 0; i < 20; ++i) b.servers["a"].latency.take(noon, 5000 * ms, 100 * ms);
   b.txns["late"] = txn(0);
   b.txns["late"].sla = noon + 50 * ms;
   const Decisions d = b.txn_taken(noon, "fresh", 0, -1, 1200 * ms, 0);
@@ -156,8 +155,7 @@
   b.servers["far"].line.zone = "there";
   for (const char* name : {"home", "far"}) {
     fill(b, name, 20 * ms);
-    b.servers[name].latency.add(noon, 5000 * ms, 20.0 * 20 * ms);
-    b.servers[name].samples.add(noon, 5000 * ms, 20);
+    for (int i = 0; i < 20; ++i) b.servers[name].latency.take(noon, 5000 * ms, 20 * ms);
   }
   b.build();
   b.servers["home"].out.assign(std::size_t(at_home), noon);
