Room rounds up again at each node

Tried and taken back: luck over the last part of a call, straying by a deviation while calm, room after what is asked while calm.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -176,7 +176,6 @@
   micros expiry = 0;
   micros sla = 0;  // the moment it ends
   double cost = 1;
-  double luck = 0;  // from 0 to under 1
   bool in_share = true;
   bool streaming = false;  // its answer has begun: the client's, without expiry
   bool answered = false;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -378,13 +378,9 @@
     }
   }
   if (ranked.empty()) return nullptr;
-  // Each server may have one call at least, but not all of them from all nodes together; nor may each node
-  // have one, or round up: of hundreds that is a crowd. A txn's luck decides over the last part of a call.
-  // While calls take no longer than when calm, a node may stray by chance: the other nodes together do not.
-  const double all = room_for(cores_guess * fleet_size / terms.nodes, settled_, worth);
-  const double calm = calm_ > 0 ? std::clamp(3 - 2 * double(typical()) / calm_, 0.0, 1.0) : 0;
-  const double stray = calm * std::sqrt(all) * (1 - 1 / std::sqrt(double(terms.nodes)));
-  if (terms.tier == 0 && in_flight + txn.luck >= std::max(calm_ > 0 ? 0 : 1 + txn.luck, all + stray))
+  // Each server may have one call at least, but not all of them from all nodes together.
+  if (terms.tier == 0 &&
+      in_flight >= std::max(1.0, room_for(cores_guess * fleet_size / terms.nodes, settled_, worth)))
     return nullptr;
   const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / std::max(1e-9, near.size)));
   const auto crowded = [&](const auto& r) {
@@ -624,7 +620,6 @@
   Txn t;
   t.scheme = scheme;
   t.taken = now;
-  t.luck = part_of_one();
   t.expiry = now + left;
   const scheme_row& row = terms.schemes[std::size_t(scheme)];
   t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
