--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -187,6 +187,7 @@
   micros expiry = 0;
   micros sla = 0;  // the moment it ends
   double cost = 1;
+  double luck = 0;  // from 0 to under 1, drawn once
   bool in_share = true;
   bool streaming = false;  // its answer has begun: the client's, without expiry
   bool answered = false;
@@ -270,6 +271,7 @@
   Circle circle() const;
   double abroad() const;
   void draw_rings();
+  double admitted(double worth) const;
   double capacity(const Server& server) const;
 
  private:
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -142,7 +142,8 @@
     // A few txns of many times the usual are no crowding: they would shrink the room of all others. A node of
     // few calls needs longer for a mean that says something.
     const auto life = std::max(memory, micros(1.5 * calm_samples * seen_for() / arrivals.read(now, memory)));
-    const bool known = all_latency_.count.read(now, life) >= calm_samples;
+    const double count = all_latency_.count.read(now, life);
+    const bool known = count >= calm_samples || (life > memory && count >= calm_samples / 3);
     all_latency_.take(now, life, double(known ? std::min(latency, 3 * usual) : latency));
     settled_.add(now, memory, 1);
     const double risen = calm_ * (1 + double(now - calm_at_) / double(calm_memory));
@@ -175,6 +176,14 @@
                                      seen_for() * (calm_ > 0 ? calm_ : double(typical()));
 }
 
+// What part of the txns one of many nodes lets in. Its own calls in flight are too few to limit what hundreds
+// of nodes send, one call each is a crowd already; so chance does, by how much slower than calm their answers
+// are.
+double Balancer::admitted(double worth) const {
+  const double may_take = calm_ > 0 ? (1 + room_factor / terms.tiers * worth) * calm_ / double(typical()) : 1;
+  return std::pow(std::min(1.0, may_take), 2 * (1 - 1 / std::sqrt(double(terms.nodes))));
+}
+
 // What a cold server can do at the least, as a share of its full capacity.
 double Balancer::cold_share(const Server& s) const {
   if (s.line.started <= 0 || terms.cold_for <= 0 || now - s.line.started >= terms.cold_for) return 1;
@@ -357,7 +366,7 @@
   if (ranked.empty()) return nullptr;
   // Each server may have one call at least, but not all of them from all nodes together.
   const double in_all = room_for(cores_guess * fleet_size / terms.nodes, settled_, worth);
-  if (terms.tier == 0 && in_flight >= std::max(1.0, in_all)) return nullptr;
+  if (terms.tier == 0 && (in_flight >= std::max(1.0, in_all) || txn.luck >= admitted(worth))) return nullptr;
   const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / near.size));
   // Failing calls in a row it is left to trials: with all others crowded, its quick failures would draw
   // everything.
@@ -586,6 +595,7 @@
   Txn t;
   t.scheme = scheme;
   t.taken = now;
+  t.luck = part_of_one();
   t.expiry = now + left;
   const scheme_row& row = terms.schemes[std::size_t(scheme)];
   t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
