--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -303,8 +303,7 @@
   bool earns_no_more(const Txn& txn) const;
   void weigh_schemes();
   micros patience(const Txn& txn) const;
-  double room(const Server& server, double worth, double circle_size) const;
-  double room_for(double floor, const Fading& settled, double worth) const;
+  double room(double part, const Fading& settled, double worth) const;
 
   double cold_share(const Server& server) const;
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr int window_length = 50;      // W
-constexpr int trial_after = 50;        // tp
+constexpr double trial_after = 50;     // tp
 constexpr double fair_shares = 4;      // ... and so many times a server's fair share of the calls
 constexpr double ks_scale = 1.628;     // alpha 0.01
 constexpr double skip_factor = 2.0;    // over this many times the node's mean in flight: skipped
@@ -134,7 +134,6 @@
   return std::max(micros(mean * crowding(s)), oldest > 4 * usual ? oldest : 0);
 }
 
-// Every latency and failure passes here on its way into the window.
 void Balancer::sample(Server& s, bool good, micros latency, bool trial) {
   const micros usual = typical();
   if (good) {
@@ -143,7 +142,7 @@
     // few calls needs longer for a mean that says something.
     const auto life = std::max(memory, micros(1.5 * calm_samples * seen_for() / arrivals.read(now, memory)));
     const double count = all_latency_.count.read(now, life);
-    const bool known = count >= calm_samples || (life > memory && count >= calm_samples / 3);
+    const bool known = count >= calm_samples || (count >= calm_samples / 3 && now - started >= second);
     all_latency_.take(now, life, double(known ? std::min(latency, 3 * usual) : latency));
     settled_.add(now, memory, 1);
     const double risen = calm_ * (1 + double(now - calm_at_) / double(calm_memory));
@@ -166,14 +165,10 @@
 // (calm latency) calls in flight; far more than that only wait, and a server kept crowded turns slow and
 // stays so. Txns of little value find less room and give way first. Inner tiers send what they get, paid for
 // already, but pass such servers over.
-double Balancer::room(const Server& s, double worth, double circle_size) const {
-  const double floor = cores_guess * s.line.size / circle_size * fleet_size / terms.nodes;
-  return room_for(floor, s.latency.count, worth);
-}
-
-double Balancer::room_for(double floor, const Fading& settled, double worth) const {
-  return floor * (0.5 + worth) + (1 + room_factor / terms.tiers * worth) * settled.read(now, memory) /
-                                     seen_for() * (calm_ > 0 ? calm_ : double(typical()));
+double Balancer::room(double part, const Fading& settled, double worth) const {
+  return cores_guess * part * fleet_size / terms.nodes * (0.5 + worth) +
+         (1 + room_factor / terms.tiers * worth) * settled.read(now, memory) / seen_for() *
+             (calm_ > 0 ? calm_ : double(typical()));
 }
 
 // What part of the txns one of many nodes lets in. Its own calls in flight are too few to limit what hundreds
@@ -243,7 +238,6 @@
   close(id, txn);
 }
 
-// Nothing more is owed or sent for the txn; what is still out is called off.
 void Balancer::close(const std::string& id, Txn& txn) {
   txn.answered = true;
   withdraw_but(id, txn, -1);
@@ -270,8 +264,8 @@
 // Unchosen for tp calls; where any server's turn comes later than that, for four of its turns: else most of
 // what hundreds of nodes send would be trials, and a dead server would get as much as a good one.
 bool Balancer::unchosen(const Server& s, double circle_size) const {
-  const double turn = circle_size / std::max(1e-9, s.line.size);
-  return calls - s.chosen_at >= s.wait_factor * std::max<double>(trial_after, fair_shares * turn);
+  return calls - s.chosen_at >=
+         s.wait_factor * std::max(trial_after, fair_shares * circle_size / s.line.size);
 }
 
 // Time left to the SLA time, while it can be met; an answer after it earns nothing.
@@ -338,7 +332,6 @@
 Server* Balancer::choose(const Txn& txn, micros left, bool& trial) {
   trial = false;
   std::vector<Near> ranked;
-  const double away = abroad();
   bool all_fail = true;
   double in_flight = 0;
   const double worth = value(txn);
@@ -351,30 +344,26 @@
     if (!may_post(txn, *s)) continue;
     all_fail = all_fail && s->failures >= failures_seen;
     if (terms.tier == 0 && !s->out.empty() &&
-        double(s->out.size()) >= std::max(1.0, room(*s, worth, near.size)))
+        double(s->out.size()) >= std::max(1.0, room(s->line.size / near.size, s->latency.count, worth)))
       continue;
-    const bool used = std::any_of(txn.postings.begin(), txn.postings.end(),
-                                  [&](const Posting& p) { return p.server == s; });
-    const double rank = likely(*s, left) - (used ? 1 : 0);
-    ranked.push_back({s, capacity(*s) * part * (s->line.zone == terms.zone ? 1 : away), rank});
-    // Unchosen for tp calls: the next call is its trial, once-only txns excepted.
+    const bool again = !txn.postings.empty() && txn.postings.back().server == s;
+    const double weight = capacity(*s) * part * (s->line.zone == terms.zone ? 1 : abroad());
+    ranked.push_back({s, weight, likely(*s, left) - (again ? 1 : 0)});
     if (may_try && (!terms.may_probe || s->erring) && !s->on_trial && unchosen(*s, near.size)) {
       trial = true;
       return s;
     }
   }
-  if (ranked.empty()) return nullptr;
   // Each server may have one call at least, but not all of them from all nodes together.
-  const double in_all = room_for(cores_guess * fleet_size / terms.nodes, settled_, worth);
-  if (terms.tier == 0 && (in_flight >= std::max(1.0, in_all) || txn.luck >= admitted(worth))) return nullptr;
+  if (terms.tier == 0 && in_flight >= std::max(1.0, room(1, settled_, worth))) return nullptr;
   const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / near.size));
-  // Failing calls in a row it is left to trials: with all others crowded, its quick failures would draw
-  // everything.
+  // Who fails in a row is left to trials: with all others crowded, quick failures would draw everything.
   if (!all_fail) std::erase_if(ranked, [](const auto& r) { return r.server->failures >= failures_seen; });
   if (ranked.empty()) return nullptr;
   pass_over(ranked, [&](const Near& r) {
     const auto out = double(r.server->out.size());
-    return out > mean * r.server->line.size || out > std::max(1.0, room(*r.server, 1, near.size));
+    return out > mean * r.server->line.size ||
+           out > std::max(1.0, room(r.server->line.size / near.size, r.server->latency.count, 1));
   });
   const double best = std::max_element(ranked.begin(), ranked.end(), lower)->rank;
   std::erase_if(ranked, [&](const Near& r) { return r.rank < best - 1.0 / window_length; });
@@ -412,7 +401,6 @@
   return std::exchange(todo_, {});
 }
 
-// The list tells nothing unless asked.
 bool Balancer::ask_for_list() {
   if (!terms.ask_list || watching_ || asked_ || now < next_ask_) return false;
   todo_.list = list_call::watch;
@@ -435,7 +423,6 @@
   return now >= txn.sla && terms.schemes[std::size_t(txn.scheme)].late_revenue <= 0;
 }
 
-// The value of a txn, from 1 down.
 double Balancer::value(const Txn& txn) const {
   if (terms.tier == 0 && earns_no_more(txn)) return 0;
   return (txn.in_share ? 1 : terms.beyond_share) * (0.5 + 0.5 * seen_[std::size_t(txn.scheme)].earning);
@@ -454,6 +441,10 @@
     return x != y ? x > y : a->second.taken < b->second.taken;
   };
   auto& [id, next] = **std::min_element(held.begin(), held.end(), before);
+  if (terms.tier == 0 && next.postings.empty() && next.luck >= admitted(value(next))) {
+    answer(id, next);
+    return true;
+  }
   bool trial = false;
   if (Server* s = choose(next, time_left(next), trial)) {
     // Held for no use, it would keep those behind it waiting; an idle server is tried all the same.
@@ -474,7 +465,6 @@
   return true;
 }
 
-// How long a txn of the first tier may be held, if nothing was sent for it.
 micros Balancer::patience(const Txn& t) const { return (std::min(t.sla, t.expiry) - t.taken) / 4; }
 
 // At its expiry a txn gets its answer, whatever is out. A held one that can't be answered in time is given up
--- /dev/null
+++ b/tests/size_test.cpp
@@ -0,0 +1,143 @@
+// Failures found at full size: hundreds of nodes, of which one sees little.
+#include "help.h"
+
+using namespace robinpin;
+using namespace robinpin::help;
+
+namespace {
+
+// A node of many that knows so many servers, and whose pace is so many txns a second.
+Balancer one_of_many(int servers, double pace, int me = 0, Terms t = terms()) {
+  t.nodes = 400;
+  t.me = me;
+  Balancer b(std::move(t), 7, noon);
+  for (int i = 0; i < servers; ++i) b.servers[std::to_string(i)].line = line(std::to_string(i));
+  b.draw_rings();
+  b.now = noon + 60'000 * ms;
+  b.arrivals.add(b.now, 5000 * ms, 5 * pace);
+  return b;
+}
+
+void answered(Balancer& b, const std::string& server, micros lag, int times) {
+  for (int i = 0; i < times; ++i) {
+    const std::string id = std::to_string(i) + server;
+    b.txns[id] = txn(0);
+    b.txns[id].postings = {posted(b, server)};
+    b.posting_ended(b.now, id, 0, ending::settled, lag, true, nullptr);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a node with a posting out wakes when a rule may act on it, not all the time") {
+  Terms t = terms();
+  t.two_at_once = false;
+  Balancer b = node({"a"}, t);
+  CHECK(b.txn_taken(noon, "t", 0, -1, 1200 * ms, 0).wake_in == 500 * ms);
+}
+
+TEST_CASE("where servers outnumber tp calls, a trial is due after four of a server's turns") {
+  Balancer b = one_of_many(100, 1000);
+  b.calls = GENERATE(50, 399, 400);
+  CHECK(b.unchosen(b.servers["7"], b.circle().size) == (b.calls == 400));
+}
+
+TEST_CASE("a node keeps to as many servers as its pace keeps windows fresh for") {
+  const auto [pace, servers] = GENERATE(table<double, double>({{0.1, 6}, {10, 20}, {1000, 100}}));
+  CHECK(one_of_many(100, pace).circle().size == Approx(servers).margin(0.1));
+}
+
+TEST_CASE("the nodes' circles hold all servers alike, by size") {
+  std::map<std::string, double> held;
+  for (int me = 0; me < 400; ++me) {
+    Balancer b = one_of_many(40, 4, me);
+    b.servers["3"].line.size = 4;
+    b.draw_rings();
+    for (const Near& n : b.circle().servers) held[n.server->line.server] += n.part;
+  }
+  for (const auto& [server, nodes] : held) CHECK(nodes == Approx(held["3"]).epsilon(0.06));
+  CHECK(held.size() == 40);
+}
+
+TEST_CASE("what is left to trials or cold is in the circle beside others") {
+  Balancer b = one_of_many(100, 1);
+  const std::size_t usual = b.circle().servers.size();
+  b.circle().servers[2].server->failures = 2;
+  CHECK(b.circle().servers.size() == usual + 1);
+}
+
+TEST_CASE("tied servers are drawn by size, or by what their kind's latencies show") {
+  const bool told = GENERATE(true, false);
+  Terms t = terms();
+  t.sizes_told = told;
+  Balancer b = node({"strong", "weak"}, t);
+  for (const char* name : {"strong", "weak"}) b.servers[name].kind = &b.kinds[name];
+  if (told) b.servers["strong"].line.size = 4;
+  if (!told)
+    for (int i = 0; i < 50; ++i) {
+      b.kinds["strong"].take(noon, 30'000 * ms, 0.4);
+      b.kinds["weak"].take(noon, 30'000 * ms, 1.6);
+    }
+  CHECK(b.capacity(b.servers["strong"]) > 3 * b.capacity(b.servers["weak"]));
+}
+
+TEST_CASE("homes are left as far as calls there are slower than abroad, the sooner the less it costs") {
+  const auto [price, slow, most] =
+      GENERATE(table<double, double, double>({{0.07, 1, 0.01}, {0.07, 1.3, 0.5}, {0.01, 1.3, 1}, {0, 1, 1}}));
+  Terms t = terms();
+  t.price_crossing = price;
+  Balancer b = node({"home", "far"}, t);
+  b.servers["far"].line.zone = "there";
+  for (int i = 0; i < 40; ++i) {
+    answered(b, "home", micros(slow * 100 * ms), 1);
+    answered(b, "far", 100 * ms, 1);
+  }
+  CHECK(b.abroad() <= most);
+  CHECK((b.abroad() > 0.01) == (slow > 1 || price == 0));
+}
+
+TEST_CASE(
+    "a node of few calls knows its calm latency, and lets in a part of the txns when calls take longer") {
+  Balancer b = one_of_many(20, 4);
+  answered(b, "1", 100 * ms, 8);
+  CHECK(b.admitted(1) == 1);
+  answered(b, "1", 290 * ms, 100);
+  CHECK(b.admitted(1) < 1);
+  CHECK(b.admitted(0.1) < b.admitted(1));
+}
+
+TEST_CASE("an unlucky txn is declined at once and keeps nobody waiting") {
+  Balancer b = one_of_many(20, 4);
+  answered(b, "1", 100 * ms, 8);
+  answered(b, "1", 290 * ms, 100);
+  b.txns["unlucky"] = txn(0);
+  b.txns["unlucky"].expiry = b.txns["unlucky"].sla = b.now + 1000 * ms;
+  b.txns["unlucky"].luck = 0.999;
+  const Decisions d = b.woke(b.now);
+  REQUIRE(d.finals.size() == 1);
+  CHECK(d.finals[0].txn == "unlucky");
+  CHECK(d.sends.empty());
+}
+
+TEST_CASE("an inner tier passes over servers without room while others have it") {
+  Terms t = terms();
+  t.tier = 1;
+  t.nodes = 100;
+  Balancer b = node({"busy", "free"}, t);
+  b.started = noon - 60'000 * ms;
+  b.servers["busy"].out.assign(3, noon);
+  b.servers["free"].out.assign(3, noon);
+  for (int i = 0; i < 400; ++i) b.servers["free"].latency.take(noon, 5000 * ms, 100 * ms);
+  bool trial = false;
+  for (int i = 0; i < 20; ++i) CHECK(b.choose(txn(0), 400 * ms, trial)->line.server == "free");
+}
+
+TEST_CASE(
+    "rule 1: a held txn past its SLA time is given up before posting, not sent and answered in one input") {
+  Balancer b = node({"a"});
+  b.txns["late"] = txn(0);
+  b.txns["late"].sla = noon - ms;
+  const Decisions d = b.woke(noon);
+  CHECK(d.finals.size() == 1);
+  CHECK(d.sends.empty());
+}
