--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -276,7 +276,8 @@
 
  private:
   struct Seen {
-    micros longest_wait = 0;  // what a client's try had at the most
+    micros first_wait = 0;  // what a client gives its first try, by the votes of the tries
+    int votes = 0;
     Mean latency;
     double earning = 0;  // for its work, the best 1
   };
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -589,11 +589,14 @@
   t.expiry = now + left;
   const scheme_row& row = terms.schemes[std::size_t(scheme)];
   t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
-  // Clients wait a part of the expiry for one try, but no longer than the expiry for all: a shorter wait than
-  // the longest known is what earlier tries have left, and the SLA time ran from the first.
-  micros& longest = seen_[std::size_t(scheme)].longest_wait;
-  longest = std::max(longest, std::min(left, row.expiry));
-  if (terms.tier == 0 && double(left) < 0.98 * double(longest)) t.sla -= row.expiry - left;
+  // Clients wait a part of the expiry for a first try, the same for all, and what is left of it for the last:
+  // the wait of most tries is the first's (taken for repeats, first tries were declined unseen); another
+  // tells a repeat, whose SLA time ran from the first.
+  Seen& seen = seen_[std::size_t(scheme)];
+  const bool usual = std::abs(left - seen.first_wait) <= left / 50;
+  seen.votes = std::min(50, seen.votes + (usual ? 1 : -1));
+  if (seen.votes < 0) seen = {left, 1, seen.latency, seen.earning};
+  if (terms.tier == 0 && left != seen.first_wait && !usual) t.sla -= row.expiry - left;
   if (cost > 0) {  // a hint counts against the mean of the hints
     hints.take(now, memory, cost);
     t.cost = cost / hints.mean(cost);
