--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -24,8 +24,7 @@
 constexpr double repeats_share = 0.1;  // further postings, of the txns taken
 constexpr double cores_guess = 2;      // calls a server works on side by side, where nothing tells
 constexpr double room_factor = 1.6;    // room beyond the calm load by a txn's value, over all tiers
-constexpr micros second = 1'000'000;
-constexpr micros never = micros(1) << 60;
+constexpr micros second = 1'000'000, never = micros(1) << 60;
 constexpr micros memory = 5 * second;  // of the fading sums
 constexpr double crossing_worth = 3;   // parts of latency at home that a point of a crossing's price is worth
 constexpr double call_off_price = 0.1;  // points of service a call-off may cost at the most
@@ -37,7 +36,6 @@
 constexpr micros calm_memory = 300 * second;
 constexpr micros pace = 20'000;  // between looks at what is held
 
-// Leaves out what the condition names, unless that is all there is.
 template <typename Ranked, typename Condition>
 void pass_over(Ranked& ranked, Condition condition) {
   if (!std::all_of(ranked.begin(), ranked.end(), condition)) std::erase_if(ranked, condition);
@@ -222,7 +220,6 @@
   return true;
 }
 
-// A decline promises that a further try is harmless.
 bool Balancer::may_decline(const Txn& txn) const {
   const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
   return row.kind == repeats::repeatable || (row.kind == repeats::referenced && row.within == group::all) ||
@@ -408,7 +405,7 @@
   return true;
 }
 
-// What a scheme earns for its work, against the best of the house; its mean latency stands for its work.
+// What a scheme earns for its work (its mean latency stands for that), against the best of the house.
 void Balancer::weigh_schemes() {
   double most = 0;
   for (std::size_t i = 0; i < terms.schemes.size(); ++i) {
@@ -634,7 +631,7 @@
     const double part = std::min(5.0, double(lag) / std::max(1.0, t.cost * usual.mean(1)));
     if (s.kind) s.kind->take(now, slow_memory, part);
     const double of_kind = part / (s.kind ? s.kind->slow() : 1);
-    s.pace.take(now, slow_memory, of_kind);
+    s.pace.take(now, 2 * memory, of_kind);
     (s.line.zone == terms.zone ? at_home_ : away_).take(now, memory, of_kind);
   }
   // A posting that we called off, or that was never sent, says of its server only how long it was silent.
