--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -174,7 +174,7 @@
 // are.
 double Balancer::admitted(double worth) const {
   const double may_take = calm_ > 0 ? (1 + room_factor / terms.tiers * worth) * calm_ / double(typical()) : 1;
-  return std::pow(std::min(1.0, may_take), 2 * (1 - 1 / std::sqrt(double(terms.nodes))));
+  return std::pow(std::min(1.0, may_take), 4 * (1 - 1 / std::sqrt(double(terms.nodes))));
 }
 
 // What a cold server can do at the least, as a share of its full capacity.
