--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -173,7 +173,7 @@
 // of nodes send, one call each is a crowd already; so chance does, by how much slower than calm their answers
 // are.
 double Balancer::admitted(double worth) const {
-  const double may_take = calm_ > 0 ? (1 + room_factor / terms.tiers * worth) * calm_ / double(typical()) : 1;
+  const double may_take = calm_ > 0 ? (1 + 0.5 * worth) * calm_ / double(typical()) : 1;
   return std::pow(std::min(1.0, may_take), 4 * (1 - 1 / std::sqrt(double(terms.nodes))));
 }
 
