--- /dev/null
+++ b/src/node/boot.cpp
@@ -0,0 +1,91 @@
+#include "boot.h"
+
+#include <rapidjson/error/en.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+
+namespace robinpin::node {
+
+namespace {
+
+constexpr int kept_back = 24;  // descriptors that are no sockets of peers: standard streams, epoll, signals, timers
+constexpr int least_sockets = 16;
+constexpr int usual_sockets = 1024;
+
+tcp::endpoint address(const std::string& text, const std::string& key) {
+  try {
+    return endpoint_of(text);
+  } catch (const std::exception& failure) {
+    throw read::malformed(key + ": " + failure.what());
+  }
+}
+
+std::uint32_t seed_of(const std::string& hex) {
+  std::uint64_t n = 0;
+  const auto [stop, wrong] = std::from_chars(hex.data(), hex.data() + hex.size(), n, 16);
+  if (wrong != std::errc() || stop != hex.data() + hex.size()) read::wrong("seed is not hexadecimal");
+  return std::uint32_t(n ^ (n >> 32));
+}
+
+int sockets_of(const read::value& config) {
+  int most = usual_sockets;
+  if (const auto* limits = read::find(config, "limits"))
+    most = int(std::min(1e6, read::number(read::object(*limits, "limits"), "sockets", usual_sockets)));
+  if (rlimit own{}; getrlimit(RLIMIT_NOFILE, &own) == 0 && own.rlim_cur != RLIM_INFINITY)
+    most = int(std::min<rlim_t>(rlim_t(std::max(0, most)), own.rlim_cur));
+  if (most < kept_back + least_sockets) read::wrong("limits.sockets is too small: " + std::to_string(most));
+  return most - kept_back;
+}
+
+// Under the name of its part, so that the message tells where the faulty key stands.
+template <typename Read>
+auto under(const char* key, Read read) {
+  try {
+    return read();
+  } catch (const std::exception& failure) {
+    throw read::malformed(std::string(key) + ": " + failure.what());
+  }
+}
+
+}  // namespace
+
+Boot boot_from(const std::string& text, const environment& variable) {
+  rapidjson::Document config;
+  config.Parse<rapidjson::kParseFullPrecisionFlag | rapidjson::kParseIterativeFlag>(text.data(), text.size());
+  if (config.HasParseError())
+    read::wrong(std::string("EDGE_CONFIG is not JSON: ") + GetParseError_En(config.GetParseError()));
+  if (!config.IsObject()) read::wrong("EDGE_CONFIG is not an object");
+  // The environment has the last word over the file.
+  const auto told = [&](const char* edge, const char* key) {
+    const char* v = variable(edge);
+    return v && *v ? std::string(v) : read::text(read::need(config, key), key);
+  };
+  Boot b;
+  b.name = told("EDGE_NAME", "name");
+  b.listen = address(told("EDGE_LISTEN", "listen"), "listen");
+  b.discovery = address(told("EDGE_DISCOVERY", "discovery"), "discovery");
+  b.seed = seed_of(read::text(read::need(config, "seed"), "seed"));
+  b.most_sockets = sockets_of(config);
+  if (const auto* known = read::find(config, "known")) b.known = under("known", [&] { return news_of(*known); });
+  b.house = under("settings", [&] {
+    return read::house(read::object(read::need(config, "settings"), "settings"));
+  });
+  if (b.house.terms.schemes.empty()) read::wrong("settings: Schemes is empty");
+  if (b.house.dial_limit <= 0) read::wrong("settings: DialTimeout is not above 0");
+  if (b.house.keep_idle <= 0) read::wrong("settings: Keepalive is not above 0");
+  return b;
+}
+
+Boot boot(const environment& variable) {
+  const char* path = variable("EDGE_CONFIG");
+  if (!path || !*path) read::wrong("EDGE_CONFIG is not set");
+  std::ifstream file(path, std::ios::binary);
+  if (!file) read::wrong(std::string("EDGE_CONFIG: can't read ") + path);
+  return boot_from({std::istreambuf_iterator<char>(file), {}}, variable);
+}
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/boot.h
@@ -0,0 +1,29 @@
+// What the node is told at its start: the one place where EDGE_* and the configuration are read, checked and given
+// defaults.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "../read/house.h"
+#include "list.h"
+
+namespace robinpin::node {
+
+struct Boot {
+  std::string name;
+  tcp::endpoint listen, discovery;
+  std::uint32_t seed = 0;
+  int most_sockets = 0;  // descriptors for sockets, what the process needs besides taken off
+  News known;
+  read::House house;
+};
+
+using environment = std::function<const char*(const char*)>;
+
+// `text` is the JSON of EDGE_CONFIG. Throws std::runtime_error with one line that names the faulty key.
+Boot boot_from(const std::string& text, const environment& variable);
+// Reads the file that EDGE_CONFIG names.
+Boot boot(const environment& variable);
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/clients.cpp
@@ -0,0 +1,325 @@
+#include "clients.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+#include "log.h"
+
+namespace robinpin::node {
+
+namespace {
+
+using namespace std::chrono_literals;
+constexpr auto idle_limit = 90s, message_limit = 10s, write_limit = 5s;
+constexpr auto listen_on = 500ms, last_look = 100ms;
+constexpr micros longest_wait = 3'600'000'000;
+constexpr std::size_t longest_id = 128;
+
+std::string_view phrase(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 408: return "Request Timeout";
+    case 409: return "Conflict";
+    case 413: return "Content Too Large";
+    case 431: return "Request Header Fields Too Large";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    default: return "Internal Server Error";
+  }
+}
+
+// Headers that concern one connection only, or that the node writes itself.
+bool stays_here(std::string_view name, std::string_view connection_lists) {
+  static constexpr std::array own = {"Connection", "Keep-Alive", "Proxy-Connection",   "TE",
+                                     "Trailer",    "Upgrade",    "Transfer-Encoding",  "Content-Length",
+                                     "Expect",     "Host",       "Request-Timeout-Ms", "Proxy-Authorization"};
+  if (std::any_of(own.begin(), own.end(), [&](const char* o) { return same_name(o, name); })) return true;
+  while (!connection_lists.empty()) {
+    const auto comma = std::min(connection_lists.find(','), connection_lists.size());
+    std::string_view one = connection_lists.substr(0, comma);
+    while (!one.empty() && one.front() == ' ') one.remove_prefix(1);
+    while (!one.empty() && one.back() == ' ') one.remove_suffix(1);
+    if (same_name(one, name)) return true;
+    connection_lists.remove_prefix(std::min(comma + 1, connection_lists.size()));
+  }
+  return false;
+}
+
+std::shared_ptr<const Request> request_of(const Message& m) {
+  auto r = std::make_shared<Request>();
+  const std::string_view host = m.header("Host");
+  r->start = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", m.method(), m.target(),
+                         host.empty() ? std::string_view("backend.local") : host);
+  const std::string_view lists = m.header("Connection");
+  for (std::size_t i = 0; i < m.headers(); ++i) {
+    const auto [name, value] = m.header(i);
+    if (!stays_here(name, lists)) r->headers += fmt::format("{}: {}\r\n", name, value);
+  }
+  r->body = m.body();
+  return r;
+}
+
+}  // namespace
+
+Asked asked_of(const Message& m, const read::House& house) {
+  const auto bad = [](int status, const char* why) {
+    Asked a;
+    a.status = status;
+    a.why = why;
+    return a;
+  };
+  Asked a;
+  a.id = m.header("Request-Id");
+  if (a.id.empty() || a.id.size() > longest_id) return bad(400, "Request-Id is missing or too long");
+  const auto scheme = house.schemes.find(std::string(m.header("Request-Class")));
+  if (scheme == house.schemes.end()) return bad(400, "Request-Class is missing or not known");
+  a.scheme = scheme->second;
+  if (!house.tenants.empty()) {
+    const auto tenant = house.tenants.find(std::string(m.header("Tenant")));
+    if (tenant == house.tenants.end()) return bad(400, "Tenant is missing or not known");
+    a.tenant = tenant->second;
+  }
+  const long long ms = whole_number(m.header("Request-Timeout-Ms"));
+  if (ms < 0) return bad(400, "Request-Timeout-Ms is missing or not a whole number");
+  a.left = std::min<micros>(longest_wait / 1000, ms) * 1000;
+  const repeats kind = house.terms.schemes[std::size_t(a.scheme)].kind;
+  if (m.method() != (kind == repeats::repeatable ? "GET" : "POST"))
+    return bad(405, "the method is not the class's");
+  if (kind == repeats::referenced && m.header("Idempotency-Key").empty())
+    return bad(400, "Idempotency-Key is missing");
+  a.request = request_of(m);
+  return a;
+}
+
+Clients::Clients(asio::io_context& io, const Clock& clock, Sockets& sockets, Counters& counters, Desk& desk,
+                 Servers& servers, const read::House& house)
+    : io_(io),
+      clock_(clock),
+      sockets_(sockets),
+      counters_(counters),
+      desk_(desk),
+      servers_(servers),
+      house_(house),
+      acceptor_(io) {
+  sockets_.evict_by([this] { return evict(); });
+}
+
+void Clients::listen(tcp::endpoint at) {
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen(4096);
+  acceptor_.non_blocking(true);
+}
+
+awaitable<void> Clients::accept() {
+  asio::steady_timer pause(io_);
+  while (acceptor_.is_open()) {
+    asio::error_code error;
+    // Room for the txns' own postings stays free: of what is taken in, each needs one more socket.
+    const bool room = sockets_.make_room() && int(seats_.size()) < sockets_.most() * 3 / 4;
+    if (!room && !evict()) {
+      pause.expires_after(5ms);
+      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    tcp::socket socket(io_);
+    co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      ++counters_.clients_accepted;
+      socket.set_option(tcp::no_delay(true), error);
+      asio::co_spawn(
+          io_, serve(std::make_shared<Connection>(std::move(socket), sockets_, HTTP_REQUEST)), asio::detached);
+    } else if (acceptor_.is_open() && error != asio::error::operation_aborted) {
+      // Out of descriptors, or a connection that went before it was taken.
+      ++counters_.accepts_failed;
+      evict();
+      pause.expires_after(5ms);
+      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+  }
+  closed_ = true;
+}
+
+bool Clients::evict() {
+  for (const Seat& s : seats_)
+    if (const auto c = s.connection.lock(); c && s.idle && c->open() && c->quiet()) {
+      ++counters_.clients_evicted;
+      c->close();
+      return true;
+    }
+  return false;
+}
+
+// Only what is quiet: what has begun to send is served first.
+void Clients::close_idle() {
+  for (const Seat& s : seats_)
+    if (const auto c = s.connection.lock(); c && s.idle && c->quiet()) c->close();
+}
+
+awaitable<void> Clients::drain() {
+  ready = false;
+  draining_ = true;
+  close_idle();
+  asio::steady_timer pause(io_);
+  pause.expires_after(listen_on);
+  co_await pause.async_wait(asio::use_awaitable);
+  // What waits to be accepted has been taken too: accept() goes on until none is left.
+  pause.expires_after(last_look);
+  co_await pause.async_wait(asio::use_awaitable);
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+  micros longest = 0;
+  for (const auto& row : house_.terms.schemes) longest = std::max(longest, row.expiry);
+  const auto end = steady::now() + std::chrono::microseconds(longest);
+  while (!seats_.empty() && steady::now() < end) {
+    close_idle();
+    pause.expires_after(5ms);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+}
+
+awaitable<void> Clients::serve(connection c) {
+  const seat s = seats_.insert(seats_.end(), Seat{c, false});
+  try {
+    while (co_await serve_next(c, s)) {
+    }
+  } catch (const std::exception& failure) {
+    ++counters_.exceptions;
+    log::error("client connection: {}", failure.what());
+  }
+  c->close();
+  seats_.erase(s);
+}
+
+// One message and its answer; false when the connection is at its end.
+awaitable<bool> Clients::serve_next(connection c, seat s) {
+  reading got = c->in.next();
+  asio::error_code error;
+  if (got == reading::unfinished && !c->in.begun()) {
+    s->idle = true;
+    seats_.splice(seats_.end(), seats_, s);
+    c->limit(steady::now() + idle_limit);
+    co_await c->socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    s->idle = false;
+    if (error) co_return false;
+  }
+  if (got == reading::unfinished) {
+    c->limit(steady::now() + message_limit);
+    got = co_await c->read(error);
+    if (got == reading::unfinished) co_return false;
+  }
+  c->no_limit();
+  switch (got) {
+    case reading::complete: break;
+    case reading::body_too_long: co_return co_await refuse(c, 413, "the body is too long");
+    case reading::head_too_long: co_return co_await refuse(c, 431, "the headers are too long");
+    default: co_return co_await refuse(c, 400, "not HTTP/1.1");
+  }
+  const std::string_view target = c->in.target();
+  if (c->in.connects()) co_return co_await refuse(c, 405, "no tunnels");
+  if (target.starts_with("/health/") || target == "/counters") co_return co_await own_page(c);
+  co_return co_await txn(c);
+}
+
+awaitable<bool> Clients::refuse(connection c, int status, std::string_view why) {
+  ++counters_.bad_requests;
+  const std::string body = fmt::format("{}\n", why);
+  co_await answer(c, status, "Content-Type: text/plain\r\nConnection: close\r\n", body);
+  co_return false;
+}
+
+awaitable<bool> Clients::own_page(connection c) {
+  ++counters_.health_calls;
+  const std::string_view target = c->in.target();
+  constexpr std::string_view plain = "Content-Type: text/plain\r\n";
+  if (c->in.method() != "GET") co_return co_await refuse(c, 405, "only GET");
+  if (target == "/counters") co_return co_await answer(c, 200, plain, counters_.text());
+  if (target == "/health/live") co_return co_await answer(c, 200, plain, "live\n");
+  if (target != "/health/ready") co_return co_await refuse(c, 404, "no such page");
+  co_return co_await answer(c, ready ? 200 : 503, plain, ready ? "ready\n" : "not ready\n");
+}
+
+awaitable<bool> Clients::txn(connection c) {
+  const Asked asked = asked_of(c->in, house_);
+  if (asked.status != 0) co_return co_await refuse(c, asked.status, asked.why);
+  if (desk_.knows(asked.id)) co_return co_await refuse(c, 409, "Request-Id is in use");
+  const Desk::visit v = desk_.take(asked.id, asked.scheme, asked.tenant, asked.left, 0);
+  watch(c, v);
+  std::vector<std::shared_ptr<Call>> calls;
+  Order order;
+  for (;;) {
+    order = co_await desk_.pick(v);
+    if (order.next == Order::what::post) {
+      calls.push_back(std::make_shared<Call>());
+      asio::co_spawn(io_, posting(v, calls.back(), order, asked.request), asio::detached);
+    } else if (order.next == Order::what::withdraw) {
+      if (std::size_t(order.posting) < calls.size()) calls[std::size_t(order.posting)]->withdraw();
+    } else {
+      break;
+    }
+  }
+  asio::error_code ignored;
+  if (c->open()) c->socket.cancel(ignored);  // the watch
+  switch (order.next) {
+    case Order::what::settled: {
+      ++counters_.settled;
+      const Answer& a = calls[std::size_t(order.posting)]->answer;
+      const std::string type = a.type.empty() ? "" : fmt::format("Content-Type: {}\r\n", a.type);
+      co_return co_await answer(c, 200, type, a.body);
+    }
+    case Order::what::declined: {
+      ++counters_.declined;
+      const std::string advice =
+          order.come_back > 0 ? fmt::format("Retry-After: {:.3f}\r\n", double(order.come_back) / 1e6) : "";
+      co_return co_await answer(c, 503, advice, "declined\n");
+    }
+    case Order::what::reversed: {
+      ++counters_.reversed;
+      co_return co_await answer(c, 502, "", "reversed\n");
+    }
+    default: co_return false;
+  }
+}
+
+// Whatever happens to it, a posting ends in one report to the desk.
+awaitable<void> Clients::posting(Desk::visit v, std::shared_ptr<Call> call, Order order,
+                                 std::shared_ptr<const Request> request) {
+  try {
+    co_await servers_.post(call, order.server, std::move(request), v->expiry);
+  } catch (const std::exception& failure) {
+    ++counters_.exceptions;
+    log::error("posting to {}: {}", order.server, failure.what());
+    call->answer.how = ending::reset;
+    call->connection.reset();
+  }
+  const Answer& a = call->answer;
+  desk_.report(v, order.posting, a.how, a.lag, a.reported ? &a.report : nullptr);
+}
+
+awaitable<bool> Clients::answer(connection c, int status, std::string_view headers, std::string_view body) {
+  const bool stays = c->in.keep_alive() && !draining_ && headers.find("Connection: close") == headers.npos;
+  const std::string head = fmt::format("HTTP/1.1 {} {}\r\n{}{}Content-Length: {}\r\n\r\n", status, phrase(status),
+                                       headers, c->in.keep_alive() && draining_ ? "Connection: close\r\n" : "",
+                                       body.size());
+  c->limit(steady::now() + write_limit);
+  std::size_t written = 0;
+  const auto broken = co_await c->write(head, body, written);
+  if (broken) ++counters_.answers_broken;
+  c->no_limit();
+  co_return stays && !broken;
+}
+
+// A client that closes while its txn is at the desk has gone away.
+void Clients::watch(const connection& c, const Desk::visit& v) {
+  c->socket.async_wait(tcp::socket::wait_read, [this, c, v](asio::error_code cancelled) {
+    if (!cancelled && c->peer_gone()) desk_.leave(v);
+  });
+}
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/clients.h
@@ -0,0 +1,70 @@
+// The clients as peers: takes their txns in, asks the desk what to do with each, and answers.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <string>
+
+#include "../read/house.h"
+#include "connection.h"
+#include "counters.h"
+#include "desk.h"
+#include "servers.h"
+
+namespace robinpin::node {
+
+// A client's request as far as the desk needs it, or the status with which it is turned down.
+struct Asked {
+  int status = 0;  // 0: fit to be taken
+  std::string why;
+  std::string id;
+  int scheme = -1, tenant = -1;
+  micros left = 0;
+  std::shared_ptr<const Request> request;
+};
+Asked asked_of(const Message& m, const read::House& house);
+
+class Clients {
+ public:
+  Clients(asio::io_context& io, const Clock& clock, Sockets& sockets, Counters& counters, Desk& desk,
+          Servers& servers, const read::House& house);
+
+  void listen(tcp::endpoint at);  // throws if it can't
+  awaitable<void> accept();       // until drained
+  bool ready = false;
+  // From now on not ready; goes on listening for a while, answers what it has taken, then returns.
+  awaitable<void> drain();
+
+ private:
+  using connection = std::shared_ptr<Connection>;
+  struct Seat {  // of an open connection
+    std::weak_ptr<Connection> connection;
+    bool idle = false;
+  };
+  using seat = std::list<Seat>::iterator;
+
+  bool evict();
+  void close_idle();
+  awaitable<void> serve(connection c);
+  awaitable<bool> serve_next(connection c, seat s);
+  awaitable<bool> refuse(connection c, int status, std::string_view why);
+  awaitable<bool> own_page(connection c);
+  awaitable<bool> txn(connection c);
+  awaitable<void> posting(Desk::visit v, std::shared_ptr<Call> call, Order order,
+                          std::shared_ptr<const Request> request);
+  awaitable<bool> answer(connection c, int status, std::string_view headers, std::string_view body);
+  void watch(const connection& c, const Desk::visit& v);
+
+  asio::io_context& io_;
+  const Clock& clock_;
+  Sockets& sockets_;
+  Counters& counters_;
+  Desk& desk_;
+  Servers& servers_;
+  const read::House& house_;
+  tcp::acceptor acceptor_;
+  std::list<Seat> seats_;  // idle ones: the longest idle first
+  bool draining_ = false, closed_ = false;
+};
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/connection.cpp
@@ -0,0 +1,99 @@
+#include "connection.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <stdexcept>
+
+namespace robinpin::node {
+
+bool Sockets::make_room() {
+  for (const auto& evict : evictors_)
+    while (full() && evict()) {
+    }
+  return !full();
+}
+
+Connection::Connection(tcp::socket s, Sockets& sockets, http_parser_type kind, Limits limits)
+    : socket(std::move(s)), in(kind, limits), sockets_(sockets), timer_(socket.get_executor()) {
+  ++sockets_.open_;
+}
+
+void Connection::close() {
+  no_limit();
+  asio::error_code ignored;
+  socket.close(ignored);
+  if (counted_) --sockets_.open_;
+  counted_ = false;
+}
+
+void Connection::limit(steady::time_point at) {
+  timer_.expires_at(at);
+  timer_.async_wait([weak = weak_from_this(), round = ++round_](asio::error_code cancelled) {
+    const auto self = weak.lock();
+    if (cancelled || !self || self->round_ != round) return;
+    self->ran_out_ = true;
+    self->close();
+  });
+}
+
+void Connection::no_limit() {
+  ++round_;
+  timer_.cancel();
+}
+
+Connection::peeked Connection::peek() {
+  if (!open()) return peeked::end;
+  char byte = 0;
+  const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) return peeked::bytes;
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) ? peeked::nothing : peeked::end;
+}
+
+bool Connection::quiet() { return !in.begun() && !in.behind() && peek() == peeked::nothing; }
+bool Connection::peer_gone() { return peek() == peeked::end; }
+
+awaitable<asio::error_code> Connection::connect(tcp::endpoint to) {
+  asio::error_code error;
+  co_await socket.async_connect(to, asio::redirect_error(asio::use_awaitable, error));
+  if (!error) socket.set_option(tcp::no_delay(true), error);
+  co_return error;
+}
+
+awaitable<asio::error_code> Connection::write(std::string_view head, std::string_view body,
+                                              std::size_t& written) {
+  asio::error_code error;
+  const std::array<asio::const_buffer, 2> parts = {asio::buffer(head.data(), head.size()),
+                                                   asio::buffer(body.data(), body.size())};
+  written = co_await asio::async_write(socket, parts, asio::redirect_error(asio::use_awaitable, error));
+  co_return error;
+}
+
+awaitable<reading> Connection::read(asio::error_code& error) {
+  error = {};
+  for (;;) {
+    const auto [at, size] = in.room();
+    const std::size_t came = co_await socket.async_read_some(
+        asio::buffer(at, size), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      const bool whole = error == asio::error::eof && in.begun() && in.ended() == reading::complete;
+      if (whole) error = {};
+      co_return whole ? reading::complete : reading::unfinished;
+    }
+    if (const reading r = in.take(came); r != reading::unfinished) co_return r;
+  }
+}
+
+tcp::endpoint endpoint_of(const std::string& text) {
+  const auto colon = text.rfind(':');
+  const auto port = colon == std::string::npos ? -1 : whole_number(std::string_view(text).substr(colon + 1));
+  std::string host = text.substr(0, std::min(colon, text.size()));
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+  asio::error_code wrong;
+  const auto address = asio::ip::make_address(host, wrong);
+  if (wrong || port < 1 || port > 65535) throw std::runtime_error("'" + text + "' is not address:port");
+  return {address, std::uint16_t(port)};
+}
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/connection.h
@@ -0,0 +1,75 @@
+// A TCP connection with its message buffer, its time limit and its place in the budget of descriptors.
+#pragma once
+
+#include <asio.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "http.h"
+
+namespace robinpin::node {
+
+using asio::awaitable;
+using tcp = asio::ip::tcp;
+
+// How many descriptors the node's sockets may take. Who is out of room closes what is idle first.
+class Sockets {
+ public:
+  explicit Sockets(int most) : most_(most) {}
+  bool make_room();  // true if one more may be opened
+  bool full() const { return open_ >= most_; }
+  int open() const { return open_; }
+  int most() const { return most_; }
+  // Closes the longest idle socket of a peer, if there is one.
+  void evict_by(std::function<bool()> evict) { evictors_.push_back(std::move(evict)); }
+
+ private:
+  friend class Connection;
+  int most_, open_ = 0;
+  std::vector<std::function<bool()>> evictors_;
+};
+
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(tcp::socket socket, Sockets& sockets, http_parser_type kind, Limits limits = {});
+  ~Connection() { close(); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void close();
+  bool open() const { return socket.is_open(); }
+  // Closes the connection at that time unless the limit is moved or lifted before.
+  void limit(steady::time_point at);
+  void no_limit();
+  bool ran_out() const { return ran_out_; }
+  // Whether the peer has neither sent anything nor closed: only then an idle connection is of use.
+  bool quiet();
+  bool peer_gone();
+
+  awaitable<asio::error_code> connect(tcp::endpoint to);
+  // Writes all of it; `written` tells how much went out.
+  awaitable<asio::error_code> write(std::string_view head, std::string_view body, std::size_t& written);
+  // Reads until a message is whole or the connection ends (`error`).
+  awaitable<reading> read(asio::error_code& error);
+
+  tcp::socket socket;
+  Message in;
+  steady::time_point idle_since{};
+
+ private:
+  enum class peeked { nothing, bytes, end };
+  peeked peek();
+  Sockets& sockets_;
+  asio::steady_timer timer_;
+  std::uint64_t round_ = 0;
+  bool counted_ = true, ran_out_ = false;
+};
+
+// "address:port", numeric; throws std::runtime_error with the text if it is none.
+tcp::endpoint endpoint_of(const std::string& text);
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/counters.cpp
@@ -0,0 +1,42 @@
+#include "counters.h"
+
+#include <fmt/format.h>
+
+#include <iterator>
+#include <string_view>
+
+namespace robinpin::node {
+
+std::string Counters::text() const {
+  std::string out;
+  const auto put = [&](std::string_view name, count n) {
+    fmt::format_to(std::back_inserter(out), "{} {}\n", name, n);
+  };
+  put("clients_accepted", clients_accepted);
+  put("clients_evicted", clients_evicted);
+  put("accepts_failed", accepts_failed);
+  put("txns_taken", txns_taken);
+  put("txns_settled", settled);
+  put("txns_declined", declined);
+  put("txns_reversed", reversed);
+  put("clients_left", clients_left);
+  put("answers_broken", answers_broken);
+  put("bad_requests", bad_requests);
+  put("health_calls", health_calls);
+  static constexpr std::array<std::string_view, 8> endings = {
+      "settled", "error", "refused", "timed_out", "unreachable", "reset", "withdrawn", "moot"};
+  for (std::size_t i = 0; i < endings.size(); ++i) put(fmt::format("postings_{}", endings[i]), postings[i]);
+  put("dials", dials);
+  put("dials_failed", dials_failed);
+  put("connections_reused", reuses);
+  put("connections_idle_closed", idle_closed);
+  put("connections_evicted", idle_evicted);
+  put("postings_without_descriptor", no_room);
+  put("list_calls", list_calls);
+  put("list_failures", list_failures);
+  put("list_news", list_news);
+  put("exceptions", exceptions);
+  return out;
+}
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/counters.h
@@ -0,0 +1,26 @@
+// What the node takes in, sends and answers, in plain counts.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "robinpin/choice.h"
+
+namespace robinpin::node {
+
+struct Counters {
+  using count = std::uint64_t;
+  count clients_accepted = 0, clients_evicted = 0, accepts_failed = 0;
+  count txns_taken = 0, settled = 0, declined = 0, reversed = 0, clients_left = 0, answers_broken = 0;
+  count bad_requests = 0, health_calls = 0;
+  std::array<count, 8> postings{};  // by ending
+  count dials = 0, dials_failed = 0, reuses = 0, idle_closed = 0, idle_evicted = 0, no_room = 0;
+  count list_calls = 0, list_failures = 0, list_news = 0;
+  count exceptions = 0;
+
+  // One `name value` a line.
+  std::string text() const;
+};
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/desk.cpp
@@ -0,0 +1,115 @@
+#include "desk.h"
+
+#include <utility>
+
+namespace robinpin::node {
+
+namespace {
+constexpr auto forever = steady::time_point::max();
+}
+
+Desk::Desk(asio::io_context& io, const Clock& clock, Counters& counters, Terms terms, std::uint32_t seed)
+    : io_(io),
+      clock_(clock),
+      counters_(counters),
+      balancer_(std::move(terms), seed, clock.now()),
+      wake_(io, forever),
+      list_(io, forever) {}
+
+Desk::visit Desk::take(const std::string& id, int scheme, int tenant, micros left, double cost) {
+  const micros now = clock_.now();
+  const visit v(new Visit(io_, id, now + left));
+  visits_[id] = v;
+  ++counters_.txns_taken;
+  carry_out(balancer_.txn_taken(now, id, scheme, tenant, left, cost));
+  return v;
+}
+
+awaitable<Order> Desk::pick(visit v) {
+  for (;;) {
+    while (!v->orders_.empty()) {
+      Order order = std::move(v->orders_.front());
+      v->orders_.pop_front();
+      if (order.next != Order::what::post || !v->over_) co_return order;
+      // Over before it was sent: a posting for it now would come after the final answer.
+      report(v, order.posting, ending::moot, 0, nullptr);
+    }
+    asio::error_code woken;
+    co_await v->news_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+  }
+}
+
+void Desk::report(const visit& v, int posting, ending how, micros lag, const Report* report) {
+  ++counters_.postings[std::size_t(how)];
+  --v->out_;
+  const bool answers = how == ending::settled && !v->over_;
+  carry_out(balancer_.posting_ended(clock_.now(), v->id, posting, how, lag, answers || v->over_, report));
+  if (answers) give(v->id, {Order::what::settled, posting, {}, 0});
+  if (v->over_ && v->out_ == 0) visits_.erase(v->id);
+}
+
+void Desk::leave(const visit& v) {
+  if (v->over_) return;
+  ++counters_.clients_left;
+  carry_out(balancer_.client_left(clock_.now(), v->id));
+  give(v->id, {Order::what::gone, 0, {}, 0});
+}
+
+awaitable<void> Desk::tick() {
+  for (;;) {
+    asio::error_code moved;
+    co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, moved));
+    if (due_ == 0 || clock_.now() < due_) continue;
+    due_ = 0;
+    wake_.expires_at(forever);
+    carry_out(balancer_.woke(clock_.now()));
+  }
+}
+
+awaitable<void> Desk::list_wanted() {
+  while (!list_wanted_) {
+    asio::error_code woken;
+    co_await list_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+  }
+  list_wanted_ = false;
+}
+
+void Desk::list_told(const std::vector<Line>& lines, bool whole, bool asked) {
+  carry_out(balancer_.list_told(clock_.now(), lines, whole, asked));
+}
+
+void Desk::list_failed() { carry_out(balancer_.list_failed(clock_.now())); }
+
+// Withdrawals go first: the final answer is the last order that is picked.
+void Desk::carry_out(const Decisions& d) {
+  for (const auto& w : d.withdrawals) give(w.txn, {Order::what::withdraw, w.posting, {}, 0});
+  for (const auto& s : d.sends) give(s.txn, {Order::what::post, 0, s.server, 0});
+  for (const auto& f : d.finals)
+    give(f.txn, {f.declined ? Order::what::declined : Order::what::reversed, 0, {}, f.come_back});
+  if (d.list != list_call::none) {
+    list_wanted_ = true;
+    list_.cancel();
+  }
+  if (d.wake_in > 0) {
+    due_ = clock_.now() + d.wake_in;
+    wake_.expires_at(clock_.at(due_));
+  }
+}
+
+void Desk::give(const std::string& id, Order order) {
+  const auto it = visits_.find(id);
+  if (it == visits_.end()) return;
+  const visit v = it->second;
+  if (order.next == Order::what::post) {
+    order.posting = v->sent_++;
+    ++v->out_;
+  } else if (order.next != Order::what::withdraw) {
+    if (v->over_) return;
+    v->over_ = true;
+    if (v->out_ == 0) visits_.erase(it);
+  }
+  v->orders_.push_back(std::move(order));
+  v->news_.cancel();
+}
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/desk.h
@@ -0,0 +1,75 @@
+// The module as the network code sees it: a txn is taken, its next order picked, a posting's end reported, time ticks.
+// Here the module's decisions are turned into orders; nothing is decided.
+#pragma once
+
+#include <asio.hpp>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "clock.h"
+#include "counters.h"
+
+namespace robinpin::node {
+
+using asio::awaitable;
+
+struct Order {
+  enum class what { post, withdraw, settled, declined, reversed, gone };
+  what next = what::gone;
+  int posting = 0;         // post, withdraw, settled
+  std::string server;      // post
+  micros come_back = 0;    // declined: how long the client should stay away; 0: not told
+};
+
+class Desk {
+ public:
+  // A txn's place at the desk.
+  class Visit {
+   public:
+    const std::string id;
+    const micros expiry;
+    bool over() const { return over_; }
+
+   private:
+    friend class Desk;
+    Visit(asio::io_context& io, std::string name, micros until)
+        : id(std::move(name)), expiry(until), news_(io, steady::time_point::max()) {}
+    asio::steady_timer news_;
+    std::deque<Order> orders_;
+    int sent_ = 0, out_ = 0;
+    bool over_ = false;  // it has its final answer, or nobody waits for it
+  };
+  using visit = std::shared_ptr<Visit>;
+
+  Desk(asio::io_context& io, const Clock& clock, Counters& counters, Terms terms, std::uint32_t seed);
+
+  bool knows(const std::string& id) const { return visits_.contains(id); }
+  visit take(const std::string& id, int scheme, int tenant, micros left, double cost);
+  awaitable<Order> pick(visit v);  // the next order; the last is a final answer or gone
+  void report(const visit& v, int posting, ending how, micros lag, const Report* report);
+  void leave(const visit& v);  // the client has gone away
+  awaitable<void> tick();      // runs as long as the node
+
+  awaitable<void> list_wanted();
+  void list_told(const std::vector<Line>& lines, bool whole, bool asked);
+  void list_failed();
+
+ private:
+  void carry_out(const Decisions& d);
+  void give(const std::string& id, Order order);
+
+  asio::io_context& io_;
+  const Clock& clock_;
+  Counters& counters_;
+  Balancer balancer_;
+  std::unordered_map<std::string, visit> visits_;  // by txn, while it is not over or postings are out
+  asio::steady_timer wake_, list_;
+  micros due_ = 0;  // of the next look; 0: none
+  bool list_wanted_ = false;
+};
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/http.cpp
@@ -0,0 +1,153 @@
+#include "http.h"
+
+#include <algorithm>
+#include <charconv>
+#include <climits>
+#include <cstring>
+
+namespace robinpin::node {
+
+namespace {
+
+constexpr std::size_t first_size = 2048, kept_size = 16 * 1024;
+
+char lower(char c) { return c >= 'A' && c <= 'Z' ? char(c - 'A' + 'a') : c; }
+
+}  // namespace
+
+bool same_name(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
+}
+
+long long whole_number(std::string_view text) {
+  long long n = 0;
+  const auto [stop, wrong] = std::from_chars(text.data(), text.data() + text.size(), n);
+  return wrong == std::errc() && stop == text.data() + text.size() && n >= 0 && text[0] != '-' ? n : -1;
+}
+
+Message::Message(http_parser_type kind, Limits limits) : limits_(limits) {
+  http_parser_init(&parser_, kind);
+  parser_.data = this;
+}
+
+const http_parser_settings& Message::callbacks() {
+  static const http_parser_settings table = [] {
+    http_parser_settings s;
+    http_parser_settings_init(&s);
+    s.on_message_begin = [](http_parser* p) {
+      of(p).begun_ = true;
+      return 0;
+    };
+    s.on_url = [](http_parser* p, const char* at, std::size_t n) {
+      of(p).join(of(p).target_, at, n);
+      return 0;
+    };
+    s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+      Message& m = of(p);
+      if (m.head_done_) return 0;  // trailers are passed over
+      if (m.headers_.empty() || m.in_value_) m.headers_.emplace_back();
+      m.in_value_ = false;
+      m.join(m.headers_.back().first, at, n);
+      return 0;
+    };
+    s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+      Message& m = of(p);
+      if (m.head_done_) return 0;
+      m.in_value_ = true;
+      m.join(m.headers_.back().second, at, n);
+      return 0;
+    };
+    s.on_headers_complete = [](http_parser* p) {
+      Message& m = of(p);
+      m.head_done_ = true;
+      const bool told = p->content_length != ULLONG_MAX;
+      if (told && p->content_length > m.limits_.body) m.failed_ = reading::body_too_long;
+      return m.failed_ == reading::unfinished ? 0 : -1;
+    };
+    s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+      Message& m = of(p);
+      if (m.body_.size + n > m.limits_.body) m.failed_ = reading::body_too_long;
+      if (m.failed_ != reading::unfinished) return -1;
+      m.join(m.body_, at, n);
+      return 0;
+    };
+    s.on_message_complete = [](http_parser* p) {
+      Message& m = of(p);
+      m.complete_ = true;
+      m.keep_alive_ = http_should_keep_alive(p) != 0;
+      http_parser_pause(p, 1);
+      return 0;
+    };
+    return s;
+  }();
+  return table;
+}
+
+// Pieces of one part need not lie side by side (chunks, folded headers): the later is moved to the earlier.
+void Message::join(Span& span, const char* at, std::size_t size) {
+  const auto from = std::size_t(at - buffer_.data());
+  if (span.size == 0)
+    span.at = from;
+  else if (span.at + span.size != from)
+    std::memmove(buffer_.data() + span.at + span.size, at, size);
+  span.size += size;
+}
+
+std::pair<char*, std::size_t> Message::room() {
+  if (buffer_.size() - end_ < first_size / 2) buffer_.resize(std::max(first_size, 2 * buffer_.size()));
+  return {buffer_.data() + end_, buffer_.size() - end_};
+}
+
+reading Message::take(std::size_t came) {
+  end_ += came;
+  return parse();
+}
+
+reading Message::parse() {
+  if (complete_) return reading::complete;
+  if (failed_ != reading::unfinished) return failed_;
+  const std::size_t n = end_ - parsed_;
+  if (n == 0) return reading::unfinished;
+  const std::size_t read = http_parser_execute(&parser_, &callbacks(), buffer_.data() + parsed_, n);
+  parsed_ += read;
+  if (complete_) {
+    http_parser_pause(&parser_, 0);
+    return reading::complete;
+  }
+  if (failed_ == reading::unfinished && HTTP_PARSER_ERRNO(&parser_) != HPE_OK)
+    failed_ = HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW ? reading::head_too_long : reading::malformed;
+  if (failed_ == reading::unfinished && !head_done_ && parsed_ > limits_.head) failed_ = reading::head_too_long;
+  // What lies behind the body so far (chunk sizes) has been read and is dropped.
+  if (failed_ == reading::unfinished && body_.size > 0) parsed_ = end_ = body_.at + body_.size;
+  return failed_;
+}
+
+reading Message::ended() {
+  if (complete_ || failed_ != reading::unfinished) return parse();
+  http_parser_execute(&parser_, &callbacks(), buffer_.data(), 0);
+  return complete_ ? reading::complete : reading::malformed;
+}
+
+void Message::forget() {
+  target_ = body_ = {};
+  headers_.clear();
+  begun_ = in_value_ = head_done_ = complete_ = keep_alive_ = false;
+}
+
+reading Message::next() {
+  if (end_ > parsed_) std::memmove(buffer_.data(), buffer_.data() + parsed_, end_ - parsed_);
+  end_ -= parsed_;
+  parsed_ = 0;
+  forget();
+  if (end_ == 0 && buffer_.size() > kept_size) std::vector<char>().swap(buffer_);
+  return parse();
+}
+
+std::string_view Message::header(std::string_view name) const {
+  for (const auto& [field, v] : headers_)
+    if (same_name(text(field), name)) return text(v);
+  return {};
+}
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/http.h
@@ -0,0 +1,76 @@
+// HTTP/1.1 messages, read with http-parser over one buffer a connection. The buffer grows with a message and is
+// compacted in place: parts that came in pieces are joined where they lie, what was read past is dropped.
+#pragma once
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace robinpin::node {
+
+struct Limits {
+  std::size_t head = 16 * 1024;
+  std::size_t body = 64 * 1024;
+};
+
+enum class reading { unfinished, complete, malformed, head_too_long, body_too_long };
+
+class Message {
+ public:
+  explicit Message(http_parser_type kind, Limits limits = {});
+  Message(const Message&) = delete;
+  Message& operator=(const Message&) = delete;
+
+  // Room for the next bytes, and how many of them have come.
+  std::pair<char*, std::size_t> room();
+  reading take(std::size_t came);
+  reading ended();  // no more will come: completes a body that goes to the end
+  // Drops the message that was read and looks at what came behind it.
+  reading next();
+
+  bool begun() const { return begun_; }        // of the present message anything has come
+  bool behind() const { return end_ > parsed_; }  // bytes of a next one have come
+  bool keep_alive() const { return keep_alive_; }
+  bool chunked() const { return (parser_.flags & F_CHUNKED) != 0; }
+  int status() const { return parser_.status_code; }
+  std::string_view method() const { return http_method_str(http_method(parser_.method)); }
+  bool connects() const { return parser_.method == HTTP_CONNECT || parser_.upgrade; }
+  std::string_view target() const { return text(target_); }
+  std::string_view body() const { return text(body_); }
+  // The value of the first header of that name, in any case; empty if there is none.
+  std::string_view header(std::string_view name) const;
+  std::size_t headers() const { return headers_.size(); }
+  std::pair<std::string_view, std::string_view> header(std::size_t i) const {
+    return {text(headers_[i].first), text(headers_[i].second)};
+  }
+
+ private:
+  struct Span {
+    std::size_t at = 0, size = 0;
+  };
+  std::string_view text(Span s) const { return {buffer_.data() + s.at, s.size}; }
+  void join(Span& span, const char* at, std::size_t size);
+  void forget();
+  reading parse();
+  static const http_parser_settings& callbacks();
+  static Message& of(http_parser* p) { return *static_cast<Message*>(p->data); }
+
+  http_parser parser_{};
+  Limits limits_;
+  std::vector<char> buffer_;
+  std::size_t parsed_ = 0, end_ = 0;
+  Span target_, body_;
+  std::vector<std::pair<Span, Span>> headers_;
+  bool begun_ = false, in_value_ = false, head_done_ = false, complete_ = false, keep_alive_ = false;
+  reading failed_ = reading::unfinished;
+};
+
+bool same_name(std::string_view a, std::string_view b);
+// A whole number without sign or blanks; -1 if it is none or too large.
+long long whole_number(std::string_view text);
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/list.cpp
@@ -0,0 +1,138 @@
+#include "list.h"
+
+#include <fmt/format.h>
+
+#include "log.h"
+
+namespace robinpin::node {
+
+namespace {
+
+using namespace std::chrono_literals;
+constexpr auto watch_for = 20'000ms, dial_limit = 1'000ms, answer_slack = 2'500ms;
+constexpr Limits list_limits = {16 * 1024, 8 * 1024 * 1024};
+
+News::Entry entry_of(const read::value& e) {
+  using namespace read;
+  object(e, "targets entry");
+  News::Entry entry;
+  Line& line = entry.line;
+  line.server = text(need(e, "uid"), "uid");
+  line.zone = text(e, "az", "");
+  line.kind = text(e, "model", "");
+  if (const value* cell = find(e, "pod_group")) line.cell = integer(*cell, "pod_group");
+  line.size = number(e, "capacity_hint", 1);
+  line.started = time_of(e, "boot_ms", 0);
+  const std::string state = text(need(e, "state"), "state");
+  if (state == "Terminating")
+    line.state = standing::draining;
+  else if (state == "Gone")
+    line.state = standing::gone;
+  else if (state != "Ready")
+    wrong("state " + state + " is not known");
+  if (line.state != standing::gone || find(e, "endpoint")) {
+    try {
+      entry.at = endpoint_of(text(need(e, "endpoint"), "endpoint"));
+    } catch (const malformed&) {
+      throw;
+    } catch (const std::exception& failure) {
+      wrong(std::string("endpoint ") + failure.what());
+    }
+  }
+  return entry;
+}
+
+}  // namespace
+
+News news_of(const read::value& told) {
+  using namespace read;
+  object(told, "list");
+  News news;
+  const double version = number(need(told, "rev"), "rev");
+  if (!(version >= 0 && version < 9e15)) wrong("rev is out of range");
+  news.version = static_cast<long long>(version);
+  news.whole = flag(told, "all");
+  for (const value& e : array(need(told, "targets"), "targets").GetArray()) news.entries.push_back(entry_of(e));
+  return news;
+}
+
+std::optional<News> news_of(std::string_view text) {
+  rapidjson::Document told;
+  told.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
+  try {
+    if (told.HasParseError()) read::wrong("not JSON");
+    return news_of(told);
+  } catch (const read::malformed& what) {
+    log::warning("discovery: {}", what.what());
+    return std::nullopt;
+  }
+}
+
+List::List(asio::io_context& io, Sockets& sockets, Counters& counters, Desk& desk, Servers& servers,
+           tcp::endpoint at)
+    : io_(io), sockets_(sockets), counters_(counters), desk_(desk), servers_(servers), at_(at) {}
+
+void List::told(const News& news, bool asked) {
+  std::vector<Line> lines;
+  for (const auto& [line, at] : news.entries) {
+    servers_.told(line.server, at, line.started, line.state == standing::gone);
+    lines.push_back(line);
+  }
+  version_ = news.version;
+  known_ = known_ || !lines.empty();
+  desk_.list_told(lines, news.whole, asked);
+}
+
+awaitable<void> List::follow() {
+  for (;;) {
+    co_await desk_.list_wanted();
+    try {
+      co_await watch_on();
+    } catch (const std::exception& failure) {
+      ++counters_.exceptions;
+      log::error("discovery: {}", failure.what());
+    }
+    ++counters_.list_failures;
+    connection_.reset();
+    desk_.list_failed();
+  }
+}
+
+// A watch ends unless the next call comes at once after each answer.
+awaitable<void> List::watch_on() {
+  for (bool first = true;; first = false) {
+    const auto news = co_await watch();
+    if (!news) co_return;
+    version_ = news->version;
+    if (first || news->whole || !news->entries.empty()) told(*news, true);
+  }
+}
+
+awaitable<std::optional<News>> List::watch() {
+  ++counters_.list_calls;
+  if (!connection_ || !connection_->quiet()) {
+    if (connection_) connection_.reset();
+    sockets_.make_room();
+    connection_ = std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE, list_limits);
+    connection_->limit(steady::now() + dial_limit);
+    if (co_await connection_->connect(at_)) co_return std::nullopt;
+  }
+  const auto c = connection_;
+  c->limit(steady::now() + watch_for + answer_slack);
+  const std::string ask =
+      fmt::format("GET /registry/instances?after={}&wait_ms={} HTTP/1.1\r\nHost: discovery\r\n\r\n", version_,
+                  watch_for.count());
+  std::size_t written = 0;
+  if (co_await c->write(ask, {}, written)) co_return std::nullopt;
+  asio::error_code error;
+  const reading got = co_await c->read(error);
+  c->no_limit();
+  if (got != reading::complete || c->in.status() != 200) co_return std::nullopt;
+  auto news = news_of(c->in.body());
+  if (news) counters_.list_news += news->entries.size();
+  const bool again = c->in.keep_alive() && c->in.next() == reading::unfinished;
+  if (!again) connection_.reset();
+  co_return news;
+}
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/servers.cpp
@@ -0,0 +1,179 @@
+#include "servers.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "log.h"
+
+namespace robinpin::node {
+
+namespace {
+
+constexpr std::size_t most_idle = 64;  // kept to one server
+
+std::string_view trim(std::string_view s) {
+  while (!s.empty() && (s.front() == ' ' || s.front() == '\t')) s.remove_prefix(1);
+  while (!s.empty() && (s.back() == ' ' || s.back() == '\t')) s.remove_suffix(1);
+  return s;
+}
+
+}  // namespace
+
+ending ending_of(how_far came, bool withdrawn, bool ran_out) {
+  if (withdrawn) return ending::withdrawn;
+  if (came < how_far::written) return ending::unreachable;
+  return ran_out ? ending::timed_out : ending::reset;
+}
+
+bool read_report(std::string_view text, const std::vector<std::string>& figures, Report& report) {
+  bool any = false;
+  while (!text.empty()) {
+    const auto comma = std::min(text.find(','), text.size());
+    const std::string_view part = text.substr(0, comma);
+    text.remove_prefix(std::min(comma + 1, text.size()));
+    const auto equals = part.find('=');
+    if (equals == std::string_view::npos) continue;
+    const std::string name(trim(part.substr(0, equals)));
+    const std::string_view digits = trim(part.substr(equals + 1));
+    double v = 0;
+    const auto [stop, wrong] = std::from_chars(digits.data(), digits.data() + digits.size(), v);
+    if (wrong != std::errc() || stop != digits.data() + digits.size() || !(v >= 0 && v < 1e9)) continue;
+    if (std::find(figures.begin(), figures.end(), name) == figures.end()) continue;
+    read::set_figure(report, name, v);
+    any = true;
+  }
+  return any;
+}
+
+Servers::Servers(asio::io_context& io, const Clock& clock, Sockets& sockets, Counters& counters,
+                 const read::House& house)
+    : io_(io), clock_(clock), sockets_(sockets), counters_(counters), house_(house) {
+  keep_for_ = house.keep_idle / 2;
+  sockets_.evict_by([this] { return evict(); });
+}
+
+void Servers::told(const std::string& uid, tcp::endpoint at, micros started, bool gone) {
+  Peer& peer = peers_[uid];
+  if (gone || peer.at != at || peer.started != started) peer.idle.clear();
+  peer.started = started;
+  if (!gone) peer.at = at;
+}
+
+// The last used goes first, so that those not needed grow old and are closed.
+std::shared_ptr<Connection> Servers::kept(Peer& peer) {
+  while (!peer.idle.empty()) {
+    auto c = std::move(peer.idle.back());
+    peer.idle.pop_back();
+    const bool fresh = steady::now() - c->idle_since < std::chrono::microseconds(keep_for_);
+    if (fresh && c->quiet()) return c;
+    ++counters_.idle_closed;
+  }
+  return nullptr;
+}
+
+void Servers::keep(const std::string& uid, std::shared_ptr<Connection> c) {
+  c->no_limit();
+  Peer& peer = peers_[uid];
+  asio::error_code gone;
+  if (c->socket.remote_endpoint(gone) != peer.at || gone || peer.idle.size() >= most_idle) return;
+  c->idle_since = steady::now();
+  peer.idle.push_back(std::move(c));
+}
+
+bool Servers::evict() {
+  Peer* oldest = nullptr;
+  for (auto& [uid, p] : peers_)
+    if (!p.idle.empty() && (!oldest || p.idle.front()->idle_since < oldest->idle.front()->idle_since))
+      oldest = &p;
+  if (!oldest) return false;
+  oldest->idle.pop_front();
+  ++counters_.idle_evicted;
+  return true;
+}
+
+awaitable<void> Servers::sweep() {
+  asio::steady_timer timer(io_);
+  for (;;) {
+    timer.expires_after(std::chrono::seconds(1));
+    co_await timer.async_wait(asio::use_awaitable);
+    const auto old = steady::now() - std::chrono::microseconds(keep_for_);
+    for (auto& [uid, p] : peers_)
+      for (; !p.idle.empty() && p.idle.front()->idle_since < old; ++counters_.idle_closed) p.idle.pop_front();
+  }
+}
+
+awaitable<void> Servers::post(std::shared_ptr<Call> call, std::string uid,
+                              std::shared_ptr<const Request> request, micros expiry) {
+  const micros sent = clock_.now();
+  co_await exchange(*call, uid, *request, expiry);
+  Answer& a = call->answer;
+  if (a.came != how_far::answered)
+    a.how = ending_of(a.came, call->withdrawn, call->connection && call->connection->ran_out());
+  a.lag = clock_.now() - sent;
+  call->connection.reset();
+}
+
+awaitable<void> Servers::exchange(Call& call, const std::string& uid, const Request& request, micros expiry) {
+  Answer& a = call.answer;
+  Peer& peer = peers_[uid];
+  if (call.withdrawn) co_return;
+  call.connection = kept(peer);
+  if (call.connection) {
+    ++counters_.reuses;
+  } else {
+    if (!sockets_.make_room()) {
+      ++counters_.no_room;
+      co_return;
+    }
+    ++counters_.dials;
+    call.connection = std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE);
+    call.connection->limit(clock_.at(std::min(expiry, clock_.now() + house_.dial_limit)));
+    if (co_await call.connection->connect(peer.at)) {
+      ++counters_.dials_failed;
+      co_return;
+    }
+  }
+  Connection& c = *call.connection;
+  const micros left = expiry - clock_.now();
+  if (call.withdrawn || !c.open() || left <= 0) co_return;
+  a.came = how_far::connected;
+  c.limit(clock_.at(expiry));
+  const std::string head = fmt::format("{}{}Request-Timeout-Ms: {}\r\nContent-Length: {}\r\n\r\n", request.start,
+                                       request.headers, left / 1000, request.body.size());
+  std::size_t written = 0;
+  const auto broken = co_await c.write(head, request.body, written);
+  if (written == head.size() + request.body.size()) a.came = how_far::written;
+  if (broken || call.withdrawn) co_return;
+  asio::error_code error;
+  reading got = co_await c.read(error);
+  while (got == reading::complete && c.in.status() < 200) {  // interim answers say nothing
+    got = c.in.next();
+    if (got == reading::unfinished) got = co_await c.read(error);
+  }
+  if (got == reading::unfinished) co_return;
+  a.came = how_far::answered;
+  if (got != reading::complete) {
+    a.how = ending::error;
+    co_return;
+  }
+  read_answer(call, c.in);
+  const bool again = c.in.keep_alive() && c.in.next() == reading::unfinished;
+  if (again && c.quiet()) keep(uid, std::move(call.connection));
+}
+
+void Servers::read_answer(Call& call, const Message& m) const {
+  Answer& a = call.answer;
+  a.reported = read_report(m.header("Server-Load"), house_.figures, a.report);
+  if (m.status() == 200) {
+    a.how = ending::settled;
+    a.type = m.header("Content-Type");
+    a.body = m.body();
+  } else {
+    const bool never_ran = (m.status() == 503 || m.status() == 504) && m.header("Not-Started") == "1";
+    a.how = never_ran ? ending::refused : ending::error;
+  }
+}
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/node/servers.h
@@ -0,0 +1,84 @@
+// The servers as peers: where each listens, the connections kept to it, and one posting over one of them.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "../read/house.h"
+#include "connection.h"
+#include "counters.h"
+
+namespace robinpin::node {
+
+// What of a client's txn goes on unchanged.
+struct Request {
+  std::string start;    // method, target and version
+  std::string headers;  // each with its line end
+  std::string body;
+};
+
+// How far a posting came. Only before its last byte is written is it known never to have run.
+enum class how_far { nowhere, connected, written, answered };
+
+struct Answer {
+  how_far came = how_far::nowhere;
+  ending how = ending::unreachable;
+  micros lag = 0;
+  std::string type, body;  // of a 200
+  bool reported = false;
+  Report report;
+};
+
+// A posting on its way, which may be withdrawn.
+struct Call {
+  bool withdrawn = false;
+  std::shared_ptr<Connection> connection;
+  Answer answer;
+  void withdraw() {
+    withdrawn = true;
+    if (connection) connection->close();
+  }
+};
+
+class Servers {
+ public:
+  Servers(asio::io_context& io, const Clock& clock, Sockets& sockets, Counters& counters,
+          const read::House& house);
+
+  // An address or a start that is new makes what is kept to the old one worthless.
+  void told(const std::string& uid, tcp::endpoint at, micros started, bool gone);
+  // Posts once; the outcome and how far it came are values in `call->answer`. Nothing is sent a second time.
+  awaitable<void> post(std::shared_ptr<Call> call, std::string uid, std::shared_ptr<const Request> request,
+                       micros expiry);
+  awaitable<void> sweep();  // runs as long as the node
+
+ private:
+  struct Peer {
+    tcp::endpoint at;
+    micros started = 0;
+    std::deque<std::shared_ptr<Connection>> idle;  // the longest idle first
+  };
+  std::shared_ptr<Connection> kept(Peer& peer);
+  void keep(const std::string& uid, std::shared_ptr<Connection> connection);
+  bool evict();
+  awaitable<void> exchange(Call& call, const std::string& uid, const Request& request, micros expiry);
+  void read_answer(Call& call, const Message& m) const;
+
+  asio::io_context& io_;
+  const Clock& clock_;
+  Sockets& sockets_;
+  Counters& counters_;
+  const read::House& house_;
+  micros keep_for_;
+  std::unordered_map<std::string, Peer> peers_;
+};
+
+// The outcome of a posting that got no answer.
+ending ending_of(how_far came, bool withdrawn, bool ran_out);
+// A load report as it stands in an answer's header: name=value, name=value.
+bool read_report(std::string_view text, const std::vector<std::string>& figures, Report& report);
+
+}  // namespace robinpin::node
--- /dev/null
+++ b/src/read/house.cpp
@@ -0,0 +1,98 @@
+#include "house.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace robinpin::read {
+
+namespace {
+
+scheme_row scheme_of(const value& s) {
+  object(s, "Schemes entry");
+  scheme_row row;
+  const std::string effect = text(s, "Effect", "safe"), within = text(s, "Group", "all");
+  if (effect == "keyed")
+    row.kind = repeats::referenced;
+  else if (effect == "unsafe")
+    row.kind = repeats::once_only;
+  else if (effect != "safe")
+    wrong("Effect " + effect + " is not known");
+  if (within == "zone")
+    row.within = group::zone;
+  else if (within == "cell")
+    row.within = group::cell;
+  else if (within != "all")
+    wrong("Group " + within + " is not known");
+  row.memory = time_of(s, "Window", 0);
+  row.sla = time_of(s, "SlaTime");
+  row.sla_stretch = number(s, "AimStretch", 0);
+  row.expiry = time_of(s, "Expiry");
+  row.revenue = number(s, "Revenue", 1);
+  row.late_revenue = number(s, "TardyRevenue", 0);
+  return row;
+}
+
+}  // namespace
+
+House house(const value& c) {
+  House h;
+  Terms& t = h.terms;
+  for (const value& s : array(need(c, "Schemes"), "Schemes").GetArray()) {
+    t.schemes.push_back(scheme_of(s));
+    h.schemes[text(need(s, "Name"), "Name")] = int(t.schemes.size()) - 1;
+  }
+  if (const value* list = find(c, "Tenants"))
+    for (const value& s : array(*list, "Tenants").GetArray()) {
+      t.allowances.push_back(number(object(s, "Tenants entry"), "AllowancePerS", 0));
+      h.tenants[text(need(s, "Name"), "Name")] = int(t.allowances.size()) - 1;
+    }
+  const value nothing(rapidjson::kObjectType);
+  const auto part = [&](const char* name) -> const value& {
+    const value* v = find(c, name);
+    return v ? object(*v, name) : nothing;
+  };
+  const value &allow = part("Permissions"), &rules = part("Guarantees"), &prices = part("Prices");
+  const value& stats = part("Stats");
+  t.beyond_share = number(c, "BeyondShareRevenue", 1);
+  t.zone = text(c, "Zone", "");
+  if (const value* v = find(c, "Tier")) t.tier = integer(*v, "Tier");
+  if (const value* v = find(c, "Me")) t.me = integer(*v, "Me");
+  if (const value* v = find(c, "PeersTotal")) t.nodes = std::max(1, integer(*v, "PeersTotal"));
+  if (const value* v = find(c, "Stages")) t.tiers = int(array(*v, "Stages").Size());
+  t.by_work = text(c, "RevenueBy", "request") == "work";
+  t.ask_list = text(c, "Discovery", "automatic") == "subscribe";
+  const std::string weights = text(c, "Weights", "off");
+  t.sizes_told = weights == "nominal" || weights == "rough";
+  t.may_probe = flag(allow, "Probes");
+  t.may_withdraw = flag(allow, "Cancel");
+  t.two_at_once = flag(allow, "SecondCopies");
+  t.advice_heeded = flag(allow, "RetryAfter");
+  t.most_postings = int(number(allow, "MostPostings", 1));
+  t.longest_advice = time_of(allow, "MaxRetryAfter", 0);
+  t.ask_every = time_of(rules, "AskEvery", 10000);
+  t.cold_for = time_of(rules, "Cold", 0);
+  t.cold_from = number(rules, "ColdFrom", 1);
+  t.tip_multiple = number(rules, "TipMultiple", 1);
+  t.tip_window = time_of(rules, "OverloadFor", 0);
+  t.price_crossing = number(prices, "CrossZone", 0);
+  t.price_waste = number(prices, "Waste", 0);
+  t.price_late = number(prices, "LateFail", 0);
+  if (const value* names = find(stats, "Names"))
+    for (const value& n : array(*names, "Stats.Names").GetArray()) h.figures.push_back(text(n, "Stats.Names"));
+  h.dial_limit = time_of(allow, "DialTimeout", 250);
+  h.keep_idle = time_of(allow, "Keepalive", 15000);
+  return h;
+}
+
+void set_figure(Report& report, const std::string& name, double v) {
+  if (name == "pending")
+    report.waiting = v;
+  else if (name == "busy_reqs")
+    report.in_work = v;
+  else if (name == "cpu_share")
+    report.busy = v;
+  else if (name == "svc_ms")
+    report.service = time_of(v, "svc_ms");
+}
+
+}  // namespace robinpin::read
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -1,82 +1,21 @@
 #include "host.h"
 
-#include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
-#include <cmath>
 #include <cstdio>
 #include <functional>
 #include <string_view>
 #include <utility>
 
+#include "../read/house.h"
+
 namespace robinpin::wirehost {
 
 namespace {
 
-using value = rapidjson::Value;
-
-[[noreturn]] void wrong(const std::string& what) { throw malformed(what); }
-
-const value* find(const value& object, const char* name) {
-  const auto it = object.FindMember(name);
-  return it == object.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
-}
-
-const value& need(const value& object, const char* name) {
-  const value* v = find(object, name);
-  if (!v) wrong(std::string("field ") + name + " is missing");
-  return *v;
-}
-
-const value& object(const value& v, const char* name) {
-  if (!v.IsObject()) wrong(std::string(name) + " is not an object");
-  return v;
-}
-
-const value& array(const value& v, const char* name) {
-  if (!v.IsArray()) wrong(std::string(name) + " is not an array");
-  return v;
-}
-
-double number(const value& v, const char* name) {
-  if (!v.IsNumber()) wrong(std::string(name) + " is not a number");
-  return v.GetDouble();
-}
-
-double number(const value& o, const char* name, double absent) {
-  const value* v = find(o, name);
-  return v ? number(*v, name) : absent;
-}
-
-int integer(const value& v, const char* name) {
-  const double d = number(v, name);
-  if (d != std::floor(d) || std::abs(d) > 2e9) wrong(std::string(name) + " is not a whole number in range");
-  return int(d);
-}
-
-bool flag(const value& o, const char* name) {
-  const value* v = find(o, name);
-  if (!v) return false;
-  if (!v->IsBool()) wrong(std::string(name) + " is not true or false");
-  return v->GetBool();
-}
-
-std::string text(const value& v, const char* name) {
-  if (!v.IsString()) wrong(std::string(name) + " is not text");
-  return {v.GetString(), v.GetStringLength()};
-}
-
-std::string text(const value& o, const char* name, const char* absent) {
-  const value* v = find(o, name);
-  return v ? text(*v, name) : absent;
-}
-
-// The wire counts in milliseconds with fractions; inside all times are whole microseconds.
-micros time_of(double ms) { return std::llround(ms * 1000); }
-micros time_of(const value& o, const char* name) { return time_of(number(need(o, name), name)); }
-micros time_of(const value& o, const char* name, double absent) { return time_of(number(o, name, absent)); }
+using namespace read;
 
 ending ending_of(int code) {
   static constexpr std::array codes = {ending::settled,   ending::error,       ending::refused,
@@ -105,109 +44,30 @@
   return line;
 }
 
-scheme_row scheme_of(const value& s) {
-  object(s, "Schemes entry");
-  scheme_row row;
-  const std::string effect = text(s, "Effect", "safe"), within = text(s, "Group", "all");
-  if (effect == "keyed")
-    row.kind = repeats::referenced;
-  else if (effect == "unsafe")
-    row.kind = repeats::once_only;
-  else if (effect != "safe")
-    wrong("Effect " + effect + " is not known");
-  if (within == "zone")
-    row.within = group::zone;
-  else if (within == "cell")
-    row.within = group::cell;
-  else if (within != "all")
-    wrong("Group " + within + " is not known");
-  row.memory = time_of(s, "Window", 0);
-  row.sla = time_of(s, "SlaTime");
-  row.sla_stretch = number(s, "AimStretch", 0);
-  row.expiry = time_of(s, "Expiry");
-  row.revenue = number(s, "Revenue", 1);
-  row.late_revenue = number(s, "TardyRevenue", 0);
-  return row;
-}
-
 }  // namespace
 
 struct Host::Instance {
   std::unique_ptr<Balancer> balancer;
-  std::unordered_map<std::string, int> schemes, tenants;
-  std::vector<std::string> stats;
+  House house;
 
   void boot(const value& e, micros now);
   bool report(const value& e, Report& out) const;
 };
 
 void Host::Instance::boot(const value& e, micros now) {
-  const value& c = object(need(e, "Config"), "Config");
-  Terms t;
-  for (const value& s : array(need(c, "Schemes"), "Schemes").GetArray()) {
-    t.schemes.push_back(scheme_of(s));
-    schemes[text(need(s, "Name"), "Name")] = int(t.schemes.size()) - 1;
-  }
-  if (const value* list = find(c, "Tenants"))
-    for (const value& s : array(*list, "Tenants").GetArray()) {
-      t.allowances.push_back(number(object(s, "Tenants entry"), "AllowancePerS", 0));
-      tenants[text(need(s, "Name"), "Name")] = int(t.allowances.size()) - 1;
-    }
-  const value nothing(rapidjson::kObjectType);
-  const auto part = [&](const char* name) -> const value& {
-    const value* v = find(c, name);
-    return v ? object(*v, name) : nothing;
-  };
-  const value &allow = part("Permissions"), &rules = part("Guarantees"), &prices = part("Prices");
-  const value& stats_of = part("Stats");
-  t.beyond_share = number(c, "BeyondShareRevenue", 1);
-  t.zone = text(c, "Zone", "");
-  if (const value* v = find(c, "Tier")) t.tier = integer(*v, "Tier");
-  if (const value* v = find(c, "Me")) t.me = integer(*v, "Me");
-  if (const value* v = find(c, "PeersTotal")) t.nodes = std::max(1, integer(*v, "PeersTotal"));
-  if (const value* v = find(c, "Stages")) t.tiers = int(array(*v, "Stages").Size());
-  t.by_work = text(c, "RevenueBy", "request") == "work";
-  t.ask_list = text(c, "Discovery", "automatic") == "subscribe";
-  const std::string weights = text(c, "Weights", "off");
-  t.sizes_told = weights == "nominal" || weights == "rough";
-  t.may_probe = flag(allow, "Probes");
-  t.may_withdraw = flag(allow, "Cancel");
-  t.two_at_once = flag(allow, "SecondCopies");
-  t.advice_heeded = flag(allow, "RetryAfter");
-  t.most_postings = int(number(allow, "MostPostings", 1));
-  t.longest_advice = time_of(allow, "MaxRetryAfter", 0);
-  t.ask_every = time_of(rules, "AskEvery", 10000);
-  t.cold_for = time_of(rules, "Cold", 0);
-  t.cold_from = number(rules, "ColdFrom", 1);
-  t.tip_multiple = number(rules, "TipMultiple", 1);
-  t.tip_window = time_of(rules, "OverloadFor", 0);
-  t.price_crossing = number(prices, "CrossZone", 0);
-  t.price_waste = number(prices, "Waste", 0);
-  t.price_late = number(prices, "LateFail", 0);
-  if (const value* names = find(stats_of, "Names"))
-    for (const value& n : array(*names, "Stats.Names").GetArray()) stats.push_back(text(n, "Stats.Names"));
+  house = read::house(object(need(e, "Config"), "Config"));
   const value& salt = need(e, "Salt");
   if (!salt.IsUint64() && !salt.IsInt64()) wrong("Salt is not a whole number");
   const std::uint64_t seed = salt.IsUint64() ? salt.GetUint64() : std::uint64_t(salt.GetInt64());
-  balancer = std::make_unique<Balancer>(std::move(t), std::uint32_t(seed ^ (seed >> 32)), now);
+  balancer = std::make_unique<Balancer>(house.terms, std::uint32_t(seed ^ (seed >> 32)), now);
 }
 
 bool Host::Instance::report(const value& e, Report& out) const {
   const value* row = find(e, "Feedback");
   if (!row) return false;
   array(*row, "Feedback");
-  for (rapidjson::SizeType i = 0; i < row->Size() && i < stats.size(); ++i) {
-    if ((*row)[i].IsNull()) continue;
-    const double v = number((*row)[i], "Feedback");
-    if (stats[i] == "pending")
-      out.waiting = v;
-    else if (stats[i] == "busy_reqs")
-      out.in_work = v;
-    else if (stats[i] == "cpu_share")
-      out.busy = v;
-    else if (stats[i] == "svc_ms")
-      out.service = time_of(v);
-  }
+  for (rapidjson::SizeType i = 0; i < row->Size() && i < house.figures.size(); ++i)
+    if (!(*row)[i].IsNull()) set_figure(out, house.figures[i], number((*row)[i], "Feedback"));
   return true;
 }
 
@@ -310,8 +170,8 @@
 
 Decisions Host::Batch::call(Instance& in, const value& e) {
   Balancer& b = *in.balancer;
-  const auto ticket = [&] { return robinpin::wirehost::text(need(e, "Ticket"), "Ticket"); };
-  const auto server = [&] { return robinpin::wirehost::text(need(e, "Server"), "Server"); };
+  const auto ticket = [&] { return read::text(need(e, "Ticket"), "Ticket"); };
+  const auto server = [&] { return read::text(need(e, "Server"), "Server"); };
   Report r;
   if (name_ == "ClosedAttempt") {
     const bool reported = in.report(e, r);
@@ -322,20 +182,20 @@
                            flag(e, "Final"), reported ? &r : nullptr);
   }
   if (name_ == "Req") {
-    const std::string scheme = robinpin::wirehost::text(need(e, "Service"), "Service");
-    const auto known = in.schemes.find(scheme);
-    if (known == in.schemes.end()) wrong("scheme " + scheme + " is not in the settings");
+    const std::string scheme = read::text(need(e, "Service"), "Service");
+    const auto known = in.house.schemes.find(scheme);
+    if (known == in.house.schemes.end()) wrong("scheme " + scheme + " is not in the settings");
     int tenant = -1;
     if (const value* t = find(e, "UserGroup"); t && t->IsString()) {
-      const auto of = in.tenants.find(t->GetString());
-      if (of != in.tenants.end()) tenant = of->second;
+      const auto of = in.house.tenants.find(t->GetString());
+      if (of != in.house.tenants.end()) tenant = of->second;
     }
     const int marks = find(e, "Marks") ? integer(*find(e, "Marks"), "Marks") : 0;
     const double cost = (marks & 1) != 0 ? number(e, "Predicted", 0) * 1000 : 0;
     return b.txn_taken(now_, ticket(), known->second, tenant, time_of(e, "Grace"), cost);
   }
   if (name_ == "Wakeup") {
-    robinpin::wirehost::text(need(e, "Token"), "Token");
+    read::text(need(e, "Token"), "Token");
     return b.woke(now_);
   }
   if (name_ == "Aborted") return b.client_left(now_, ticket());
@@ -345,11 +205,11 @@
     return b.probe_answered(now_, server(), ok, time_of(e, "Lag"), reported ? &r : nullptr);
   }
   if (name_ == "Peer") {
-    const std::string raw = robinpin::wirehost::text(need(e, "Raw"), "Raw");
+    const std::string raw = read::text(need(e, "Raw"), "Raw");
     return b.peer_heard(now_, integer(need(e, "SrcPeer"), "SrcPeer"), raw);
   }
   if (name_ == "Sync") {
-    const std::string form = robinpin::wirehost::text(need(e, "Form"), "Form");
+    const std::string form = read::text(need(e, "Form"), "Form");
     if (form == "broken") return b.list_failed(now_);
     if (form != "patch" && form != "whole" && form != "stale_copy") wrong("Form " + form + " is not known");
     const int id = integer(need(e, "RosterId"), "RosterId");
--- a/src/wirehost/host.h
+++ b/src/wirehost/host.h
@@ -4,18 +4,16 @@
 
 #include <array>
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "../read/json.h"
 #include "robinpin/choice.h"
 
 namespace robinpin::wirehost {
 
-struct malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using read::malformed;
 
 class Host {
  public:
