Tests of the node's parts without the bench; configuration errors name where the key stands

Loopback stand-ins check what each answer of a server proves, how far a posting came, reuse and eviction of connections, the 4xx for bad requests, a client that leaves, a crowd of slow senders, and the end after SIGTERM. read::each and read::inside put the path before the message: settings: Schemes[0]: field SlaTime is missing.

--- a/src/node/boot.cpp
+++ b/src/node/boot.cpp
@@ -41,14 +41,20 @@
   return most - kept_back;
 }
 
-// Under the name of its part, so that the message tells where the faulty key stands.
-template <typename Read>
-auto under(const char* key, Read read) {
-  try {
-    return read();
-  } catch (const std::exception& failure) {
-    throw read::malformed(std::string(key) + ": " + failure.what());
-  }
+// What no house can mean, and the module is not made for.
+void check(const read::House& h) {
+  const auto above = [](double v, const char* name) {
+    if (!(v > 0)) read::wrong(std::string(name) + " is not above 0");
+  };
+  above(double(h.terms.schemes.size()), "the number of Schemes");
+  for (std::size_t i = 0; i < h.terms.schemes.size(); ++i)
+    read::inside("Schemes[" + std::to_string(i) + "]", [&] {
+      above(double(h.terms.schemes[i].sla), "SlaTime");
+      above(double(h.terms.schemes[i].expiry), "Expiry");
+    });
+  above(h.terms.most_postings, "MostPostings");
+  above(double(h.dial_limit), "DialTimeout");
+  above(double(h.keep_idle), "Keepalive");
 }
 
 }  // namespace
@@ -70,13 +76,11 @@
   b.discovery = address(told("EDGE_DISCOVERY", "discovery"), "discovery");
   b.seed = seed_of(read::text(read::need(config, "seed"), "seed"));
   b.most_sockets = sockets_of(config);
-  if (const auto* known = read::find(config, "known")) b.known = under("known", [&] { return news_of(*known); });
-  b.house = under("settings", [&] {
-    return read::house(read::object(read::need(config, "settings"), "settings"));
-  });
-  if (b.house.terms.schemes.empty()) read::wrong("settings: Schemes is empty");
-  if (b.house.dial_limit <= 0) read::wrong("settings: DialTimeout is not above 0");
-  if (b.house.keep_idle <= 0) read::wrong("settings: Keepalive is not above 0");
+  if (const auto* known = read::find(config, "known"))
+    b.known = read::inside("known", [&] { return news_of(*known); });
+  const read::value& settings = read::object(read::need(config, "settings"), "settings");
+  b.house = read::inside("settings", [&] { return read::house(settings); });
+  read::inside("settings", [&] { check(b.house); });
   return b;
 }
 
--- a/src/node/clients.h
+++ b/src/node/clients.h
@@ -30,7 +30,8 @@
           Servers& servers, const read::House& house);
 
   void listen(tcp::endpoint at);  // throws if it can't
-  awaitable<void> accept();       // until drained
+  tcp::endpoint at() const { return acceptor_.local_endpoint(); }
+  awaitable<void> accept();  // until drained
   // From now on not ready; goes on listening for a while, answers what it has taken, then returns.
   awaitable<void> drain();
 
--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -52,7 +52,7 @@
   if (!(version >= 0 && version < 9e15)) wrong("rev is out of range");
   news.version = static_cast<long long>(version);
   news.whole = flag(told, "all");
-  for (const value& e : array(need(told, "targets"), "targets").GetArray()) news.entries.push_back(entry_of(e));
+  each(need(told, "targets"), "targets", [&](const value& e) { news.entries.push_back(entry_of(e)); });
   return news;
 }
 
--- a/src/read/house.cpp
+++ b/src/read/house.cpp
@@ -37,15 +37,15 @@
 House house(const value& c) {
   House h;
   Terms& t = h.terms;
-  for (const value& s : array(need(c, "Schemes"), "Schemes").GetArray()) {
+  each(need(c, "Schemes"), "Schemes", [&](const value& s) {
     t.schemes.push_back(scheme_of(s));
     h.schemes[text(need(s, "Name"), "Name")] = int(t.schemes.size()) - 1;
-  }
+  });
   if (const value* list = find(c, "Tenants"))
-    for (const value& s : array(*list, "Tenants").GetArray()) {
+    each(*list, "Tenants", [&](const value& s) {
       t.allowances.push_back(number(object(s, "Tenants entry"), "AllowancePerS", 0));
       h.tenants[text(need(s, "Name"), "Name")] = int(t.allowances.size()) - 1;
-    }
+    });
   const value nothing(rapidjson::kObjectType);
   const auto part = [&](const char* name) -> const value& {
     const value* v = find(c, name);
@@ -78,7 +78,7 @@
   t.price_waste = number(prices, "Waste", 0);
   t.price_late = number(prices, "LateFail", 0);
   if (const value* names = find(stats, "Names"))
-    for (const value& n : array(*names, "Stats.Names").GetArray()) h.figures.push_back(text(n, "Stats.Names"));
+    each(*names, "Stats.Names", [&](const value& n) { h.figures.push_back(text(n, "name")); });
   h.dial_limit = time_of(allow, "DialTimeout", 250);
   h.keep_idle = time_of(allow, "Keepalive", 15000);
   return h;
--- a/src/read/json.h
+++ b/src/read/json.h
@@ -20,6 +20,24 @@
 
 [[noreturn]] inline void wrong(const std::string& what) { throw malformed(what); }
 
+// Reads a part; what is wrong in it is told with where it stands.
+template <typename Read>
+auto inside(const std::string& where, Read read) {
+  try {
+    return read();
+  } catch (const malformed& what) {
+    wrong(where + ": " + what.what());
+  }
+}
+
+// Each of an array's entries, told apart by its place.
+template <typename Take>
+void each(const value& list, const std::string& name, Take take) {
+  if (!list.IsArray()) wrong(name + " is not an array");
+  for (rapidjson::SizeType i = 0; i < list.Size(); ++i)
+    inside(name + "[" + std::to_string(i) + "]", [&] { take(list[i]); });
+}
+
 inline const value* find(const value& object, const char* name) {
   const auto it = object.FindMember(name);
   return it == object.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -4,7 +4,7 @@
 using namespace robinpin::help;
 
 TEST_CASE("a bin holds latencies within half a width of its middle, the last all overruns") {
-  Balancer b = node({});
+  Balancer b = knowing({});
   const auto [at, latency, bin] =
       GENERATE(table<int, micros, int>({{0, 0, 0}, {0, -1, 0}, {1, 1, 1}, {9, 9, 9}}));
   CHECK(b.bin_of(latency * b.bin_width) == bin);
@@ -40,7 +40,7 @@
 }
 
 TEST_CASE("the server likeliest to answer in the time left is chosen") {
-  Balancer b = node({"quick", "slow"});
+  Balancer b = knowing({"quick", "slow"});
   fill(b, "quick", 100 * ms);
   fill(b, "slow", 400 * ms);
   b.build();
@@ -50,7 +50,7 @@
 }
 
 TEST_CASE("ties, empty windows among them, break at random") {
-  Balancer b = node({"a", "b"});
+  Balancer b = knowing({"a", "b"});
   b.build();
   int first = 0;
   bool trial = false;
@@ -60,7 +60,7 @@
 }
 
 TEST_CASE("a server with over twice the mean in flight is skipped") {
-  Balancer b = node({"a", "b", "c", "d"});
+  Balancer b = knowing({"a", "b", "c", "d"});
   b.servers["a"].out.assign(9, noon);
   for (const char* other : {"b", "c", "d"}) fill(b, other, 400 * ms);
   b.build();
@@ -71,7 +71,7 @@
 TEST_CASE("a server unchosen for fifty calls gets the next one, but never a once-only txn") {
   const auto [unchosen, scheme, on_trial] =
       GENERATE(table<int, int, bool>({{49, 0, false}, {50, 0, true}, {50, 2, false}}));
-  Balancer b = node({"good", "left"});
+  Balancer b = knowing({"good", "left"});
   fill(b, "good", 50 * ms);
   fill(b, "left", 1100 * ms);
   b.build();
@@ -83,7 +83,7 @@
 }
 
 TEST_CASE("a new server starts from what the others' windows hold") {
-  Balancer b = node({"old"});
+  Balancer b = knowing({"old"});
   fill(b, "old", 100 * ms);
   b.build();
   b.list_told(noon, {line("new")}, false);
@@ -91,7 +91,7 @@
 }
 
 TEST_CASE("two failures in a row rebuild the table without waiting for the test") {
-  Balancer b = node({"a"});
+  Balancer b = knowing({"a"});
   fill(b, "a", 100 * ms);
   b.build();
   b.servers["a"].failures = 1;
@@ -103,7 +103,7 @@
 }
 
 TEST_CASE("a silent posting counts against its server before its time-out lands") {
-  Balancer b = node({"a"});
+  Balancer b = knowing({"a"});
   fill(b, "a", 10 * ms);
   b.build();
   b.servers["a"].out = {noon - 900 * ms};
@@ -111,7 +111,7 @@
 }
 
 TEST_CASE("a server that fails calls in a row is left to trials, however crowded the others are") {
-  Balancer b = node({"good", "failing"});
+  Balancer b = knowing({"good", "failing"});
   fill(b, "good", 100 * ms);
   fill(b, "failing", 100 * ms);
   b.build();
@@ -123,7 +123,7 @@
 }
 
 TEST_CASE("a repeat with less time than calls take is declined at once and keeps nobody waiting") {
-  Balancer b = node({"a"});
+  Balancer b = knowing({"a"});
   fill(b, "a", 100 * ms);
   b.build();
   b.servers["a"].out = {noon};
@@ -141,7 +141,7 @@
     "the wait of most tries is the first's: another tells a repeat, whose SLA time has run since its first "
     "try") {
   const micros again = GENERATE(400, 1100) * ms;  // the last try may have more than the first, too
-  Balancer b = node({"a"});
+  Balancer b = knowing({"a"});
   for (const char* first : {"one", "two", "three"}) b.txn_taken(noon, first, 0, -1, 700 * ms, 0);
   CHECK(b.txns["three"].sla == noon + 500 * ms);
   b.txn_taken(noon, "again", 0, -1, again, 0);
@@ -154,7 +154,7 @@
   Terms t = terms();
   t.price_crossing = 0.01;
   const int at_home = GENERATE(0, 3);
-  Balancer b = node({"home", "far"}, t);
+  Balancer b = knowing({"home", "far"}, t);
   b.servers["far"].line.zone = "there";
   for (const char* name : {"home", "far"}) {
     fill(b, name, 20 * ms);
--- a/tests/gate_test.cpp
+++ b/tests/gate_test.cpp
@@ -4,7 +4,7 @@
 using namespace robinpin::help;
 
 TEST_CASE("rule 1: nothing is posted after the final answer, the expiry or the start of a stream") {
-  Balancer b = node({"a"});
+  Balancer b = knowing({"a"});
   Txn t = txn(0);
   CHECK(b.may_post(t, b.servers["a"]));
   SECTION("answered") { t.answered = true; }
@@ -15,7 +15,7 @@
 }
 
 TEST_CASE("rule 1: a txn with no server to go to is declined before its client gives up") {
-  Balancer b = node({});
+  Balancer b = knowing({});
   b.txns["t"] = txn(0);
   b.txns["t"].sla = noon + 100 * ms;
   const Decisions d = b.woke(noon + 100 * ms);
@@ -24,7 +24,7 @@
 }
 
 TEST_CASE("rule 1: a txn whose expiry has come is answered whatever is out") {
-  Balancer b = node({"a"});
+  Balancer b = knowing({"a"});
   b.txns["t"] = txn(2);
   b.txns["t"].postings = {posted(b, "a")};
   const Decisions d = b.woke(noon + 1200 * ms);
@@ -42,7 +42,7 @@
                                                            {ending::withdrawn, false},
                                                            {ending::moot, true}}));
   const int scheme = GENERATE(0, 1, 2);
-  Balancer b = node({"a", "far"});
+  Balancer b = knowing({"a", "far"});
   b.servers["far"].line.zone = "there";
   Txn t = txn(scheme);
   t.postings = {posted(b, "a")};
@@ -61,7 +61,7 @@
 }
 
 TEST_CASE("rule 2: a referenced txn is repeated in its group and memory only") {
-  Balancer b = node({"a", "far"});
+  Balancer b = knowing({"a", "far"});
   b.servers["far"].line.zone = "there";
   b.servers["far"].line.cell = 4;
   Txn t = txn(1);
@@ -80,7 +80,7 @@
 TEST_CASE("rule 2: what may be declined") {
   const int scheme = GENERATE(0, 1, 2);
   const bool never_ran = GENERATE(true, false);
-  Balancer b = node({"a"});
+  Balancer b = knowing({"a"});
   Txn t = txn(scheme);
   t.postings = {posted(b, "a")};
   t.postings[0].never_ran = never_ran;
@@ -90,14 +90,14 @@
 TEST_CASE("rule 2: never two at once where the terms forbid it") {
   Terms terms_now = terms();
   terms_now.two_at_once = false;
-  Balancer b = node({"a", "b"}, terms_now);
+  Balancer b = knowing({"a", "b"}, terms_now);
   Txn t = txn(0);
   t.postings = {posted(b, "a")};
   CHECK_FALSE(b.may_post(t, b.servers["b"]));
 }
 
 TEST_CASE("rule 3: nothing to a server told to drain, or gone from a whole list") {
-  Balancer b = node({"a", "b"});
+  Balancer b = knowing({"a", "b"});
   Line told = line("a");
   SECTION("draining") {
     told.state = standing::draining;
@@ -119,7 +119,7 @@
   t.cold_from = 0.12;
   t.tip_multiple = 4;
   t.tip_window = 1500 * ms;
-  Balancer b = node({"warm", "cold"}, t);
+  Balancer b = knowing({"warm", "cold"}, t);
   b.started = noon - 60'000 * ms;
   b.sent.add(noon, 5000 * ms, 100);  // twenty a second
   Server& cold = b.servers["cold"];
--- /dev/null
+++ b/tests/peers_test.cpp
@@ -0,0 +1,195 @@
+#include "help.h"
+
+using namespace robinpin;
+using namespace robinpin::help;
+using namespace robinpin::help::net;
+using Catch::Matchers::Contains;
+using Catch::Matchers::EndsWith;
+using Catch::Matchers::StartsWith;
+
+namespace {
+const std::string fine = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nServer-Load: pending=3,x=1\r\n\r\nhello";
+}
+
+TEST_CASE("what comes back tells the outcome, and only what was turned away before its start never ran") {
+  const auto [says, how] = GENERATE(table<std::string, ending>({
+      {fine, ending::settled},
+      {"HTTP/1.1 100 Continue\r\n\r\n" + fine, ending::settled},
+      {"HTTP/1.1 200 OK\r\n\r\nto the end", ending::settled},
+      {"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", ending::error},
+      {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", ending::error},
+      {"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", ending::refused},
+      {"HTTP/1.1 504 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", ending::refused},
+      {"HTTP/1.1 500 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", ending::error},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", ending::reset},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", ending::error},
+      {"nonsense\r\n\r\n", ending::error},
+      {"", ending::reset},
+  }));
+  Parts p;
+  StandIn s(p.io, says, true);
+  p.knows("a", s.at());
+  CHECK(p.post("a").how == how);
+  CHECK(s.got.size() == 1);
+}
+
+TEST_CASE("a posting that finds no server never ran, and one that gets no answer may have") {
+  Parts p;
+  StandIn silent(p.io, "");
+  p.knows("silent", silent.at());
+  p.knows("none", endpoint_of("127.0.0.1:1"));
+  CHECK(p.post("none").how == ending::unreachable);
+  const Answer a = p.post("silent", 50 * ms);
+  CHECK(a.how == ending::timed_out);
+  CHECK(a.lag >= 50 * ms);
+  CHECK(p.sockets.open() == 0);
+}
+
+TEST_CASE("how far a posting came decides what its end proves") {
+  CHECK(ending_of(how_far::nowhere, false, true) == ending::unreachable);
+  CHECK(ending_of(how_far::connected, false, true) == ending::unreachable);
+  CHECK(ending_of(how_far::written, false, true) == ending::timed_out);
+  CHECK(ending_of(how_far::written, false, false) == ending::reset);
+  CHECK(ending_of(how_far::written, true, false) == ending::withdrawn);
+}
+
+TEST_CASE("a connection serves one posting after another, until its server has closed it or moved") {
+  Parts p;
+  StandIn s(p.io, fine), other(p.io, fine);
+  p.knows("a", s.at());
+  const Answer first = p.post("a");
+  CHECK(first.body == "hello");
+  CHECK((first.reported && first.report.waiting == 3));
+  p.post("a");
+  CHECK(s.connections == 1);
+  SECTION("closed") {
+    s.closes = true;
+    p.post("a");
+    p.post("a");
+    CHECK(s.connections == 2);
+    CHECK(p.counters.postings[std::size_t(ending::reset)] == 0);
+  }
+  SECTION("restarted") {
+    p.knows("a", s.at(), 5);
+    p.post("a");
+    CHECK(s.connections == 2);
+  }
+  SECTION("moved") {
+    p.knows("a", other.at());
+    p.post("a");
+    CHECK(other.connections == 1);
+  }
+}
+
+TEST_CASE("without a descriptor left the longest idle connection gives way, else the posting never ran") {
+  Parts p(1);
+  StandIn a(p.io, fine), b(p.io, fine);
+  p.knows("a", a.at());
+  p.knows("b", b.at());
+  CHECK(p.post("a").how == ending::settled);
+  CHECK(p.post("b").how == ending::settled);
+  CHECK(p.counters.idle_evicted == 1);
+  Parts none(0);
+  none.knows("a", a.at());
+  CHECK(none.post("a").how == ending::unreachable);
+}
+
+TEST_CASE("a txn is served with the server's own body, and what concerns the connection alone is not passed on") {
+  Parts p;
+  StandIn s(p.io, fine);
+  p.knows("a", s.at());
+  p.listens();
+  CHECK_THAT(p.ask(request("1", "view", "Connection: X-Own\r\nX-Own: 1\r\nX-Other: 2\r\n")),
+             StartsWith("HTTP/1.1 200") && EndsWith("hello"));
+  REQUIRE(s.got.size() == 1);
+  CHECK_THAT(s.got[0], StartsWith("GET /api?k=a HTTP/1.1\r\n") && Contains("Request-Id: 1") && Contains("X-Other: 2") &&
+                           !Contains("X-Own") && Contains("Request-Timeout-Ms: 2"));
+}
+
+TEST_CASE("bad requests get a 4xx and go no further") {
+  const auto [bytes, status] = GENERATE(table<std::string, std::string>({
+      {"nonsense\r\n\r\n", "400"},
+      {request("1", "other"), "400"},
+      {request(""), "400"},
+      {request("1", "view", "Tenant: choir\r\n"), "400"},
+      {"POST" + request("1").substr(3), "405"},
+      {"GET /api HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Class: view\r\nTenant: choir\r\n\r\n", "400"},
+      {"GET /api HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Class: view\r\nTenant: choir\r\nRequest-Timeout-Ms: x\r\n\r\n", "400"},
+      {"GET /api HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Class: view\r\nTenant: who\r\nRequest-Timeout-Ms: 9\r\n\r\n", "400"},
+      {"POST /api HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Class: add\r\nTenant: choir\r\nRequest-Timeout-Ms: 9\r\n\r\n", "400"},
+      {"POST /api HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", "413"},
+      {"GET /api HTTP/1.1\r\nA: " + std::string(90'000, 'a') + "\r\n\r\n", "431"},
+      {"CONNECT a:1 HTTP/1.1\r\n\r\n", "405"},
+  }));
+  Parts p;
+  p.listens();
+  CHECK_THAT(p.ask(bytes), StartsWith("HTTP/1.1 " + status) && EndsWith("<end>"));
+  CHECK(p.counters.txns_taken == 0);
+}
+
+TEST_CASE("an id that is at the desk is not taken a second time") {
+  Parts p;
+  StandIn s(p.io, "");
+  p.knows("a", s.at());
+  p.listens();
+  tcp::socket first(p.io);
+  first.connect(p.clients.at());
+  asio::write(first, asio::buffer(request("1", "pay")));
+  p.listen_to(first, 10ms);
+  CHECK_THAT(p.ask(request("1", "pay")), StartsWith("HTTP/1.1 409"));
+  CHECK_THAT(p.listen_to(first, 400ms), StartsWith("HTTP/1.1 502"));  // it may have run: no decline
+}
+
+TEST_CASE("a client that goes away ends its txn, and its posting is withdrawn") {
+  Parts p;
+  StandIn s(p.io, "");
+  p.knows("a", s.at());
+  p.listens();
+  {
+    tcp::socket client(p.io);
+    client.connect(p.clients.at());
+    asio::write(client, asio::buffer(request("1")));
+    p.listen_to(client, 10ms);
+  }
+  p.io.run_for(20ms);
+  CHECK(p.counters.clients_left == 1);
+  CHECK(p.counters.postings[std::size_t(ending::withdrawn)] == 1);
+  CHECK(p.sockets.open() == 0);
+}
+
+// A stalled sender must not keep the place of one whose txn is whole.
+TEST_CASE("a crowd of unfinished senders makes room") {
+  Parts p(10);
+  StandIn s(p.io, fine);
+  p.knows("a", s.at());
+  p.listens();
+  std::vector<tcp::socket> slow;
+  for (int i = 0; i < 8; ++i) {
+    slow.emplace_back(p.io).connect(p.clients.at());
+    asio::write(slow.back(), asio::buffer("GET /a", 6));
+  }
+  CHECK_THAT(p.ask(request("1"), 600ms), EndsWith("hello"));
+}
+
+TEST_CASE("told to end, a node is not ready, answers what it has and takes in for a while, then closes") {
+  Parts p;
+  StandIn s(p.io, fine);
+  p.knows("a", s.at());
+  p.listens();
+  tcp::socket idle(p.io);
+  idle.connect(p.clients.at());
+  asio::write(idle, asio::buffer(request("1")));
+  CHECK_THAT(p.listen_to(idle), EndsWith("hello"));
+  CHECK_THAT(p.ask("GET /health/ready HTTP/1.1\r\n\r\n"), StartsWith("HTTP/1.1 200"));
+  const tcp::endpoint at = p.clients.at();
+  bool done = false;
+  asio::co_spawn(p.io, p.clients.drain(), [&](std::exception_ptr) { done = true; });
+  CHECK(p.listen_to(idle) == "<end>");
+  CHECK_THAT(p.ask("GET /health/ready HTTP/1.1\r\n\r\n"), StartsWith("HTTP/1.1 503"));
+  CHECK_THAT(p.ask(request("2")), Contains("Connection: close") && EndsWith("hello<end>"));
+  p.until(done);
+  tcp::socket late(p.io);
+  asio::error_code refused;
+  late.connect(at, refused);
+  CHECK(refused);
+}
--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -32,7 +32,7 @@
 TEST_CASE("a node with a posting out wakes when a rule may act on it, not all the time") {
   Terms t = terms();
   t.two_at_once = false;
-  Balancer b = node({"a"}, t);
+  Balancer b = knowing({"a"}, t);
   CHECK(b.txn_taken(noon, "t", 0, -1, 1200 * ms, 0).wake_in == 500 * ms);
 }
 
@@ -70,7 +70,7 @@
   const bool told = GENERATE(true, false);
   Terms t = terms();
   t.sizes_told = told;
-  Balancer b = node({"strong", "weak"}, t);
+  Balancer b = knowing({"strong", "weak"}, t);
   for (const char* name : {"strong", "weak"}) b.servers[name].kind = &b.kinds[name];
   if (told) b.servers["strong"].line.size = 4;
   if (!told)
@@ -86,7 +86,7 @@
       GENERATE(table<double, double, double>({{0.07, 1, 0.01}, {0.07, 1.3, 0.5}, {0.01, 1.3, 1}, {0, 1, 1}}));
   Terms t = terms();
   t.price_crossing = price;
-  Balancer b = node({"home", "far"}, t);
+  Balancer b = knowing({"home", "far"}, t);
   b.servers["far"].line.zone = "there";
   for (int i = 0; i < 40; ++i) {
     answered(b, "home", micros(slow * 100 * ms), 1);
@@ -123,7 +123,7 @@
   Terms t = terms();
   t.tier = 1;
   t.nodes = 100;
-  Balancer b = node({"busy", "free"}, t);
+  Balancer b = knowing({"busy", "free"}, t);
   b.started = noon - 60'000 * ms;
   b.servers["busy"].out.assign(3, noon);
   b.servers["free"].out.assign(3, noon);
@@ -134,7 +134,7 @@
 
 TEST_CASE(
     "rule 1: a held txn past its SLA time is given up before posting, not sent and answered in one input") {
-  Balancer b = node({"a"});
+  Balancer b = knowing({"a"});
   b.txns["late"] = txn(0);
   b.txns["late"].sla = noon - ms;
   const Decisions d = b.woke(noon);
