--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -12,25 +12,14 @@
 constexpr auto watch_for = 20'000ms, dial_limit = 1'000ms, answer_slack = 1'500ms;
 constexpr Limits list_limits = {16 * 1024, 8 * 1024 * 1024};
 
+constexpr read::ListNames names = {"uid",     "az",    "model", "pod_group",   "capacity_hint",
+                                   "boot_ms", "state", "Ready", "Terminating", "Gone"};
+
 News::Entry entry_of(const read::value& e) {
   using namespace read;
-  object(e, "targets entry");
   News::Entry entry;
-  Line& line = entry.line;
-  line.server = text(need(e, "uid"), "uid");
-  line.zone = text(e, "az", "");
-  line.kind = text(e, "model", "");
-  if (const value* cell = find(e, "pod_group")) line.cell = integer(*cell, "pod_group");
-  line.size = number(e, "capacity_hint", 1);
-  line.started = time_of(e, "boot_ms", 0);
-  const std::string state = text(need(e, "state"), "state");
-  if (state == "Terminating")
-    line.state = standing::draining;
-  else if (state == "Gone")
-    line.state = standing::gone;
-  else if (state != "Ready")
-    wrong("state " + state + " is not known");
-  if (line.state != standing::gone || find(e, "endpoint")) {
+  entry.line = line_of(e, names);
+  if (entry.line.state != standing::gone || find(e, "endpoint")) {
     try {
       entry.at = endpoint_of(text(need(e, "endpoint"), "endpoint"));
     } catch (const malformed&) {
--- a/src/read/house.cpp
+++ b/src/read/house.cpp
@@ -84,6 +84,25 @@
   return h;
 }
 
+Line line_of(const value& entry, const ListNames& n) {
+  object(entry, "list entry");
+  Line line;
+  line.server = text(need(entry, n.server), n.server);
+  line.zone = text(entry, n.zone, "");
+  line.kind = text(entry, n.kind, "");
+  if (const value* cell = find(entry, n.cell)) line.cell = integer(*cell, n.cell);
+  line.size = number(entry, n.size, 1);
+  line.started = time_of(entry, n.started, 0);
+  const std::string state = text(need(entry, n.state), n.state);
+  if (state == n.draining)
+    line.state = standing::draining;
+  else if (state == n.gone)
+    line.state = standing::gone;
+  else if (state != n.serving)
+    wrong(std::string(n.state) + " " + state + " is not known");
+  return line;
+}
+
 void set_figure(Report& report, const std::string& name, double v) {
   if (name == "pending")
     report.waiting = v;
--- a/src/read/house.h
+++ b/src/read/house.h
@@ -22,6 +22,15 @@
 // Throws malformed, naming the faulty key.
 House house(const value& settings);
 
+// What a list of servers calls its fields, and the states that an entry may have.
+struct ListNames {
+  const char *server, *zone, *kind, *cell, *size, *started, *state;
+  const char *serving, *draining, *gone;
+};
+
+// Throws malformed, naming the faulty key.
+Line line_of(const value& entry, const ListNames& names);
+
 // Sets one figure of a load report; names that the module has no use for are passed over.
 void set_figure(Report& report, const std::string& name, double v);
 
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -25,24 +25,8 @@
   return codes[std::size_t(code)];
 }
 
-Line line_of(const value& entry) {
-  object(entry, "list entry");
-  Line line;
-  line.server = text(need(entry, "Server"), "Server");
-  line.zone = text(entry, "Dc", "");
-  line.kind = text(entry, "Flavor", "");
-  if (const value* cell = find(entry, "UnitGroup")) line.cell = integer(*cell, "UnitGroup");
-  line.size = number(entry, "Share", 1);
-  line.started = time_of(entry, "ReadyAt", 0);
-  const std::string health = text(need(entry, "Health"), "Health");
-  if (health == "terminating")
-    line.state = standing::draining;
-  else if (health == "terminated")
-    line.state = standing::gone;
-  else if (health != "in_service")
-    wrong("Health " + health + " is not known");
-  return line;
-}
+constexpr ListNames names = {"Server",  "Dc",     "Flavor",     "UnitGroup",   "Share",
+                             "ReadyAt", "Health", "in_service", "terminating", "terminated"};
 
 }  // namespace
 
@@ -141,7 +125,8 @@
   if (id < 0 || id >= int(host_.lists_.size())) wrong("RosterId is out of range");
   auto& lines = host_.lists_[std::size_t(id)];
   lines.clear();
-  for (const value& entry : array(need(e, "Lines"), "Lines").GetArray()) lines.push_back(line_of(entry));
+  for (const value& entry : array(need(e, "Lines"), "Lines").GetArray())
+    lines.push_back(line_of(entry, names));
 }
 
 void Host::Batch::pass(const value& e) {
