--- a/src/node/boot.cpp
+++ b/src/node/boot.cpp
@@ -82,6 +82,9 @@
   const read::value& settings = read::object(read::need(config, "settings"), "settings");
   b.house = read::inside("settings", [&] { return read::house(settings); });
   read::inside("settings", [&] { check(b.house); });
+  // On sockets the list is told only to who asks, and a probe has no form: trials are txns.
+  b.house.terms.ask_list = true;
+  b.house.terms.may_probe = false;
   return b;
 }
 
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -103,6 +103,7 @@
     return bad(405, "the method is not the class's");
   if (kind == repeats::referenced && m.header("Idempotency-Key").empty())
     return bad(400, "Idempotency-Key is missing");
+  a.cost = double(std::max(0LL, whole_number(m.header("Work-Hint"))));  // no more than a hint: else none
   a.request = request_of(m);
   return a;
 }
@@ -295,7 +296,7 @@
   if (desk_.knows(asked.id)) co_return co_await refuse(c, 409, "Request-Id is in use");
   c->in.let_go();
   const micros left = std::max<micros>(0, asked.left - (clock_.now() - clock_.of(c->arrived())));
-  const Desk::visit v = desk_.take(asked.id, asked.scheme, asked.tenant, left, 0);
+  const Desk::visit v = desk_.take(asked.id, asked.scheme, asked.tenant, left, asked.cost);
   watch(c, v);
   std::vector<std::shared_ptr<Call>> calls;
   Order order;
--- a/src/node/clients.h
+++ b/src/node/clients.h
@@ -20,6 +20,7 @@
   std::string id;
   int scheme = -1, tenant = -1;
   micros left = 0;
+  double cost = 0;  // its work, in microseconds, where clients tell; else 0
   std::shared_ptr<const Request> request;
 };
 Asked asked_of(const Message& m, const read::House& house);
--- a/tests/boot_test.cpp
+++ b/tests/boot_test.cpp
@@ -34,6 +34,7 @@
   CHECK(b.known.entries[0].line.started == 1'700'000);
   CHECK(b.house.terms.nodes == 4);
   CHECK(b.house.dial_limit == 100'000);
+  CHECK(b.house.terms.ask_list);  // whatever the settings say: nothing tells a node that does not ask
 }
 
 TEST_CASE("the environment has the last word") {
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -134,6 +134,13 @@
   CHECK(p.counters.txns_taken == 0);
 }
 
+TEST_CASE("what a client says of its txn's work is heard, and passed over where it can't be read") {
+  const read::House h = house();
+  CHECK(asked_of(*message(request("1", "view", "Work-Hint: 477694\r\n")), h).cost == 477694);
+  const Asked none = asked_of(*message(request("1", "view", "Work-Hint: much\r\n")), h);
+  CHECK((none.status == 0 && none.cost == 0));
+}
+
 TEST_CASE("an id that is at the desk is not taken a second time") {
   Parts p;
   StandIn s(p.io, "");
