Node: buffers as long as told, a lost log or a late address does not end it

Seen by probes: with standard error closed the node aborted (fmt::print throws; exit 134), and a node started while its predecessor still drained ended with 'Address already in use'.

--- a/src/node/boot.cpp
+++ b/src/node/boot.cpp
@@ -36,8 +36,15 @@
   int most = usual_sockets;
   if (const auto* limits = read::find(config, "limits"))
     most = int(std::min(1e6, read::number(read::object(*limits, "limits"), "sockets", usual_sockets)));
-  if (rlimit own{}; getrlimit(RLIMIT_NOFILE, &own) == 0 && own.rlim_cur != RLIM_INFINITY)
-    most = int(std::min<rlim_t>(rlim_t(std::max(0, most)), own.rlim_cur));
+  if (rlimit own{}; getrlimit(RLIMIT_NOFILE, &own) == 0) {
+    const auto wanted = rlim_t(std::max(0, most));
+    if (own.rlim_cur < wanted) {
+      own.rlim_cur = std::min(own.rlim_max, wanted);
+      setrlimit(RLIMIT_NOFILE, &own);
+      getrlimit(RLIMIT_NOFILE, &own);
+    }
+    most = int(std::min(own.rlim_cur, wanted));
+  }
   if (most < kept_back + least_sockets) read::wrong("limits.sockets is too small: " + std::to_string(most));
   return most - kept_back;
 }
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <stdexcept>
+#include <thread>
 
 #include "log.h"
 
@@ -14,6 +16,7 @@
 using namespace std::chrono_literals;
 constexpr auto idle_limit = 90s, message_limit = 10s, write_limit = 5s;
 constexpr steady::duration slow_sender = 300ms, fresh = 250ms;
+constexpr auto bind_limit = 5s;
 constexpr auto listen_on = 600ms, last_words = 500ms;
 constexpr micros longest_wait = 3'600'000'000;
 constexpr std::size_t longest_id = 128;
@@ -124,7 +127,14 @@
 void Clients::listen(tcp::endpoint at) {
   acceptor_.open(at.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(at);
+  // The node that had this address may just be ending.
+  asio::error_code taken;
+  const auto until = steady::now() + bind_limit;
+  while (acceptor_.bind(at, taken), taken == asio::error::address_in_use && steady::now() < until)
+    std::this_thread::sleep_for(20ms);
+  if (taken)
+    throw std::runtime_error(
+        fmt::format("listen: {}:{}: {}", at.address().to_string(), at.port(), taken.message()));
   stamp_arrivals(acceptor_.native_handle());
   acceptor_.listen(4096);
   acceptor_.non_blocking(true);
--- a/src/node/http.cpp
+++ b/src/node/http.cpp
@@ -102,7 +102,13 @@
 }
 
 std::pair<char*, std::size_t> Message::room() {
-  if (buffer_.size() - end_ < first_size / 2) buffer_.resize(std::max(first_size, 2 * buffer_.size()));
+  if (buffer_.size() - end_ < first_size / 2) {
+    // A body whose length was told needs no more than that: doubling would keep half of each buffer empty.
+    const bool told = head_done_ && parser_.content_length <= limits_.body;
+    const std::size_t wanted =
+        told ? end_ + std::size_t(parser_.content_length) + first_size / 2 : 2 * buffer_.size();
+    buffer_.resize(std::max(first_size, wanted));
+  }
   return {buffer_.data() + end_, buffer_.size() - end_};
 }
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,4 +1,6 @@
 // robinpin: one node. Wires the parts together and heeds the signals.
+#include <fcntl.h>
+
 #include <asio.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -95,6 +97,9 @@
 int main() {
   using namespace robinpin::node;
   std::signal(SIGPIPE, SIG_IGN);
+  // Where a standard stream is closed its number would go to a socket, and the log into that.
+  for (int fd = 0; fd <= 2; ++fd)
+    if (::fcntl(fd, F_GETFD) < 0) ::open("/dev/null", O_RDWR);
   try {
     Node node(boot([](const char* name) -> const char* { return std::getenv(name); }));
     node.run();
