--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -62,8 +62,8 @@
   return false;
 }
 
-std::shared_ptr<const Request> request_of(const Message& m) {
-  auto r = std::make_shared<Request>();
+std::shared_ptr<const Outbound> outbound_of(const Message& m) {
+  auto r = std::make_shared<Outbound>();
   const std::string_view host = m.header("Host");
   r->start = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", m.method(), m.target(),
                          host.empty() ? std::string_view("backend.local") : host);
@@ -103,11 +103,11 @@
   a.left = std::min<micros>(longest_wait / 1000, ms) * 1000;
   const repeats kind = house.terms.schemes[std::size_t(a.scheme)].kind;
   if (m.method() != (kind == repeats::repeatable ? "GET" : "POST"))
-    return bad(405, "the method is not the class's");
+    return bad(405, "the method is not the one of that Request-Class");
   if (kind == repeats::referenced && m.header("Idempotency-Key").empty())
     return bad(400, "Idempotency-Key is missing");
   a.cost = double(std::max(0LL, whole_number(m.header("Work-Hint"))));  // no more than a hint: else none
-  a.request = request_of(m);
+  a.outbound = outbound_of(m);
   return a;
 }
 
@@ -262,19 +262,19 @@
     case reading::complete:
       break;
     case reading::body_too_long:
-      co_return co_await refuse(c, 413, "the body is too long");
+      co_return co_await turn_down(c, 413, "the body is too long");
     case reading::head_too_long:
-      co_return co_await refuse(c, 431, "the headers are too long");
+      co_return co_await turn_down(c, 431, "the headers are too long");
     default:
-      co_return co_await refuse(c, 400, "not HTTP/1.1");
+      co_return co_await turn_down(c, 400, "not HTTP/1.1");
   }
   const std::string_view target = c->in.target();
-  if (c->in.connects()) co_return co_await refuse(c, 405, "no tunnels");
+  if (c->in.connects()) co_return co_await turn_down(c, 405, "no tunnels");
   if (target.starts_with("/health/") || target == "/counters") co_return co_await own_page(c);
   co_return co_await txn(c);
 }
 
-awaitable<bool> Clients::refuse(connection c, int status, std::string_view why) {
+awaitable<bool> Clients::turn_down(connection c, int status, std::string_view why) {
   ++counters_.bad_requests;
   const std::string body = fmt::format("{}\n", why);
   co_await answer(c, status, "Content-Type: text/plain\r\n", body, false);
@@ -292,18 +292,18 @@
   ++counters_.health_calls;
   const std::string_view target = c->in.target();
   constexpr std::string_view plain = "Content-Type: text/plain\r\n";
-  if (c->in.method() != "GET") co_return co_await refuse(c, 405, "only GET");
+  if (c->in.method() != "GET") co_return co_await turn_down(c, 405, "only GET");
   if (target == "/counters") co_return co_await answer(c, 200, plain, counters_.text(), stays(*c));
   if (target == "/health/live") co_return co_await answer(c, 200, plain, "live\n", stays(*c));
-  if (target != "/health/ready") co_return co_await refuse(c, 404, "no such page");
+  if (target != "/health/ready") co_return co_await turn_down(c, 404, "no such page");
   const bool ready = !draining_ && servers_.any();
   co_return co_await answer(c, ready ? 200 : 503, plain, ready ? "ready\n" : "not ready\n", stays(*c));
 }
 
 awaitable<bool> Clients::txn(connection c) {
   const Asked asked = asked_of(c->in, house_);
-  if (asked.status != 0) co_return co_await refuse(c, asked.status, asked.why);
-  if (desk_.knows(asked.id)) co_return co_await refuse(c, 409, "Request-Id is in use");
+  if (asked.status != 0) co_return co_await turn_down(c, asked.status, asked.why);
+  if (desk_.knows(asked.id)) co_return co_await turn_down(c, 409, "Request-Id is in use");
   c->in.let_go();
   const micros left = std::max<micros>(0, asked.left - (clock_.now() - clock_.of(c->arrived())));
   const Desk::visit v = desk_.take(asked.id, asked.scheme, asked.tenant, left, asked.cost);
@@ -314,7 +314,7 @@
     order = co_await desk_.pick(v);
     if (order.next == Order::what::post) {
       calls.push_back(std::make_shared<Call>());
-      asio::co_spawn(io_, posting(v, calls.back(), order, asked.request), asio::detached);
+      asio::co_spawn(io_, posting(v, calls.back(), order, asked.outbound), asio::detached);
     } else if (order.next == Order::what::withdraw) {
       if (std::size_t(order.posting) < calls.size()) calls[std::size_t(order.posting)]->withdraw();
     } else {
@@ -347,9 +347,9 @@
 
 // Whatever happens to it, a posting ends in one report to the desk.
 awaitable<void> Clients::posting(Desk::visit v, std::shared_ptr<Call> call, Order order,
-                                 std::shared_ptr<const Request> request) {
+                                 std::shared_ptr<const Outbound> outbound) {
   try {
-    co_await servers_.post(call, order.server, std::move(request), v->expiry);
+    co_await servers_.post(call, order.server, std::move(outbound), v->expiry);
   } catch (const std::exception& failure) {
     ++counters_.exceptions;
     log::error("posting to {}: {}", order.server, failure.what());
--- a/src/node/clients.h
+++ b/src/node/clients.h
@@ -13,7 +13,7 @@
 
 namespace robinpin::node {
 
-// A client's request as far as the desk needs it, or the status with which it is turned down.
+// A client's txn as far as the desk needs it, or the status with which it is turned down.
 struct Asked {
   int status = 0;  // 0: fit to be taken
   std::string why;
@@ -21,7 +21,7 @@
   int scheme = -1, tenant = -1;
   micros left = 0;
   double cost = 0;  // its work, in microseconds, where clients tell; else 0
-  std::shared_ptr<const Request> request;
+  std::shared_ptr<const Outbound> outbound;
 };
 Asked asked_of(const Message& m, const read::House& house);
 
@@ -52,11 +52,11 @@
   awaitable<void> serve(connection c);
   awaitable<bool> serve_next(connection c, seat s);
   bool stays(const Connection& c) const;
-  awaitable<bool> refuse(connection c, int status, std::string_view why);
+  awaitable<bool> turn_down(connection c, int status, std::string_view why);
   awaitable<bool> own_page(connection c);
   awaitable<bool> txn(connection c);
   awaitable<void> posting(Desk::visit v, std::shared_ptr<Call> call, Order order,
-                          std::shared_ptr<const Request> request);
+                          std::shared_ptr<const Outbound> outbound);
   awaitable<bool> answer(connection c, int status, std::string_view headers, std::string_view body,
                          bool stays);
   void watch(const connection& c, const Desk::visit& v);
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -99,9 +99,9 @@
 }
 
 awaitable<void> Servers::post(std::shared_ptr<Call> call, std::string uid,
-                              std::shared_ptr<const Request> request, micros expiry) {
+                              std::shared_ptr<const Outbound> outbound, micros expiry) {
   const micros sent = clock_.now();
-  co_await exchange(*call, uid, *request, expiry);
+  co_await exchange(*call, uid, *outbound, expiry);
   Answer& a = call->answer;
   if (a.came != how_far::answered)
     a.how = ending_of(a.came, call->withdrawn, call->connection && call->connection->ran_out());
@@ -109,7 +109,8 @@
   call->connection.reset();
 }
 
-awaitable<void> Servers::exchange(Call& call, const std::string& uid, const Request& request, micros expiry) {
+awaitable<void> Servers::exchange(Call& call, const std::string& uid, const Outbound& outbound,
+                                  micros expiry) {
   Answer& a = call.answer;
   Peer& peer = peers_[uid];
   if (call.withdrawn) co_return;
@@ -135,10 +136,10 @@
   a.came = how_far::connected;
   c.limit(clock_.at(expiry));
   const std::string head = fmt::format("{}{}Request-Timeout-Ms: {}\r\nContent-Length: {}\r\n\r\n",
-                                       request.start, request.headers, left / 1000, request.body.size());
+                                       outbound.start, outbound.headers, left / 1000, outbound.body.size());
   std::size_t written = 0;
-  const auto broken = co_await c.write(head, request.body, written);
-  if (written == head.size() + request.body.size()) a.came = how_far::written;
+  const auto broken = co_await c.write(head, outbound.body, written);
+  if (written == head.size() + outbound.body.size()) a.came = how_far::written;
   if (broken || call.withdrawn) co_return;
   asio::error_code error;
   reading got = co_await c.read(error);
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -14,7 +14,7 @@
 namespace robinpin::node {
 
 // What of a client's txn goes on unchanged.
-struct Request {
+struct Outbound {
   std::string start;    // method, target and version
   std::string headers;  // each with its line end
   std::string body;
@@ -51,7 +51,7 @@
   // An address or a start that is new makes what is kept to the old one worthless.
   void told(const std::string& uid, tcp::endpoint at, micros started, bool gone);
   // Posts once; the outcome and how far it came are values in `call->answer`. Nothing is sent a second time.
-  awaitable<void> post(std::shared_ptr<Call> call, std::string uid, std::shared_ptr<const Request> request,
+  awaitable<void> post(std::shared_ptr<Call> call, std::string uid, std::shared_ptr<const Outbound> outbound,
                        micros expiry);
   awaitable<void> sweep();  // runs as long as the node
   bool any() const { return !peers_.empty(); }
@@ -65,7 +65,7 @@
   std::shared_ptr<Connection> kept(Peer& peer);
   void keep(const std::string& uid, std::shared_ptr<Connection> connection);
   bool evict();
-  awaitable<void> exchange(Call& call, const std::string& uid, const Request& request, micros expiry);
+  awaitable<void> exchange(Call& call, const std::string& uid, const Outbound& outbound, micros expiry);
   void read_answer(Call& call, const Message& m) const;
 
   asio::io_context& io_;
--- a/tests/help.h
+++ b/tests/help.h
@@ -164,7 +164,7 @@
   // One posting, as the clients' side makes it.
   Answer post(const std::string& uid, micros wait = 300 * ms) {
     auto call = std::make_shared<Call>();
-    auto r = std::make_shared<Request>();
+    auto r = std::make_shared<Outbound>();
     r->start = "GET /api HTTP/1.1\r\nHost: b\r\n";
     bool done = false;
     asio::co_spawn(io, servers.post(call, uid, r, clock.now() + wait),
