--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -68,7 +68,6 @@
     lines.push_back(line);
   }
   version_ = news.version;
-  known_ = known_ || !lines.empty();
   desk_.list_told(lines, news.whole, asked);
 }
 
--- a/src/node/list.h
+++ b/src/node/list.h
@@ -33,7 +33,6 @@
   List(asio::io_context& io, Sockets& sockets, Counters& counters, Desk& desk, Servers& servers,
        tcp::endpoint at);
   void told(const News& news, bool asked);
-  bool known() const { return known_; }
   awaitable<void> follow();  // runs as long as the node
 
  private:
@@ -48,7 +47,6 @@
   tcp::endpoint at_;
   std::shared_ptr<Connection> connection_;
   long long version_ = 0;
-  bool known_ = false;
 };
 
 }  // namespace robinpin::node
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include "log.h"
-
 namespace robinpin::node {
 
 namespace {
