Say once what the node said twice: a seat's state, an answer's keep-alive, an address' error

From reading the whole change again; what the node does is the same. answer() asks stays() itself, now_doing() sets a seat's state in one place, endpoint_of() throws the error that read::inside puts the key before (boot and list each translated it), and keep_up() returns where its part ends. The phrase for 408, which nothing answers, is gone. One log line reads "endpoint: 'x' is not address:port", with the colon that all other paths have.

--- a/src/node/boot.cpp
+++ b/src/node/boot.cpp
@@ -17,14 +17,6 @@
 constexpr int least_sockets = 16;
 constexpr int usual_sockets = 1024;
 
-tcp::endpoint address(const std::string& text, const std::string& key) {
-  try {
-    return endpoint_of(text);
-  } catch (const std::exception& failure) {
-    throw read::malformed(key + ": " + failure.what());
-  }
-}
-
 std::uint32_t seed_of(const std::string& hex) {
   std::uint64_t n = 0;
   const auto [stop, wrong] = std::from_chars(hex.data(), hex.data() + hex.size(), n, 16);
@@ -78,10 +70,14 @@
     const char* v = variable(edge);
     return v && *v ? std::string(v) : read::text(read::need(config, key), key);
   };
+  const auto address = [&](const char* edge, const char* key) {
+    const std::string at = told(edge, key);
+    return read::inside(key, [&] { return endpoint_of(at); });
+  };
   Boot b;
   b.name = told("EDGE_NAME", "name");
-  b.listen = address(told("EDGE_LISTEN", "listen"), "listen");
-  b.discovery = address(told("EDGE_DISCOVERY", "discovery"), "discovery");
+  b.listen = address("EDGE_LISTEN", "listen");
+  b.discovery = address("EDGE_DISCOVERY", "discovery");
   b.seed = seed_of(read::text(read::need(config, "seed"), "seed"));
   b.most_sockets = sockets_of(config);
   if (const auto* known = read::find(config, "known"))
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -31,8 +31,6 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
-    case 408:
-      return "Request Timeout";
     case 409:
       return "Conflict";
     case 413:
@@ -236,22 +234,24 @@
   seats_.erase(s);
 }
 
+void Clients::now_doing(seat s, doing what) {
+  s->what = what;
+  s->since = steady::now();
+  seats_.splice(seats_.end(), seats_, s);
+}
+
 // One message and its answer; false when the connection is at its end.
 awaitable<bool> Clients::serve_next(connection c, seat s) {
   reading got = c->in.next();
   asio::error_code error;
   if (got == reading::unfinished && !c->in.begun()) {
-    s->what = doing::nothing;
-    s->since = steady::now();
-    seats_.splice(seats_.end(), seats_, s);
+    now_doing(s, doing::nothing);
     c->limit(steady::now() + idle_limit);
     co_await c->socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return false;
   }
   if (got == reading::unfinished) {
-    s->what = doing::reading;
-    s->since = steady::now();
-    seats_.splice(seats_.end(), seats_, s);
+    now_doing(s, doing::reading);
     c->limit(steady::now() + message_limit);
     got = co_await c->read(error);
     if (got == reading::unfinished) co_return false;
@@ -293,11 +293,11 @@
   const std::string_view target = c->in.target();
   constexpr std::string_view plain = "Content-Type: text/plain\r\n";
   if (c->in.method() != "GET") co_return co_await turn_down(c, 405, "only GET");
-  if (target == "/counters") co_return co_await answer(c, 200, plain, counters_.text(), stays(*c));
-  if (target == "/health/live") co_return co_await answer(c, 200, plain, "live\n", stays(*c));
+  if (target == "/counters") co_return co_await answer(c, 200, plain, counters_.text());
+  if (target == "/health/live") co_return co_await answer(c, 200, plain, "live\n");
   if (target != "/health/ready") co_return co_await turn_down(c, 404, "no such page");
   const bool ready = !draining_ && servers_.any();
-  co_return co_await answer(c, ready ? 200 : 503, plain, ready ? "ready\n" : "not ready\n", stays(*c));
+  co_return co_await answer(c, ready ? 200 : 503, plain, ready ? "ready\n" : "not ready\n");
 }
 
 awaitable<bool> Clients::txn(connection c) {
@@ -328,17 +328,17 @@
       ++counters_.settled;
       const Answer& a = calls[std::size_t(order.posting)]->answer;
       const std::string type = a.type.empty() ? "" : fmt::format("Content-Type: {}\r\n", a.type);
-      co_return co_await answer(c, 200, type, a.body, stays(*c));
+      co_return co_await answer(c, 200, type, a.body);
     }
     case Order::what::declined: {
       ++counters_.declined;
       const std::string advice =
           order.come_back > 0 ? fmt::format("Retry-After: {:.3f}\r\n", double(order.come_back) / 1e6) : "";
-      co_return co_await answer(c, 503, advice, "declined\n", stays(*c));
+      co_return co_await answer(c, 503, advice, "declined\n");
     }
     case Order::what::reversed: {
       ++counters_.reversed;
-      co_return co_await answer(c, 502, "", "reversed\n", stays(*c));
+      co_return co_await answer(c, 502, "", "reversed\n");
     }
     default:
       co_return false;
@@ -362,16 +362,17 @@
 
 // True if the client has it whole and the connection may go on.
 awaitable<bool> Clients::answer(connection c, int status, std::string_view headers, std::string_view body,
-                                bool stays) {
+                                bool may_stay) {
+  const bool stay = may_stay && stays(*c);
   const std::string head =
       fmt::format("HTTP/1.1 {} {}\r\n{}{}Content-Length: {}\r\n\r\n", status, phrase(status), headers,
-                  stays ? "" : "Connection: close\r\n", body.size());
+                  stay ? "" : "Connection: close\r\n", body.size());
   c->limit(steady::now() + write_limit);
   std::size_t written = 0;
   const auto broken = co_await c->write(head, body, written);
   if (broken) ++counters_.answers_broken;
   c->no_limit();
-  co_return stays && !broken;
+  co_return stay && !broken;
 }
 
 // A client that closes while its txn is at the desk has gone away.
--- a/src/node/clients.h
+++ b/src/node/clients.h
@@ -46,6 +46,7 @@
   };
   using seat = std::list<Seat>::iterator;
 
+  void now_doing(seat s, doing what);
   bool evict();
   bool evict(doing what);
   void close_idle();
@@ -58,7 +59,7 @@
   awaitable<void> posting(Desk::visit v, std::shared_ptr<Call> call, Order order,
                           std::shared_ptr<const Outbound> outbound);
   awaitable<bool> answer(connection c, int status, std::string_view headers, std::string_view body,
-                         bool stays);
+                         bool may_stay = true);
   void watch(const connection& c, const Desk::visit& v);
 
   asio::io_context& io_;
--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -1,12 +1,13 @@
 #include "connection.h"
 
 #include <sys/socket.h>
-#include <sys/time.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
-#include <stdexcept>
+#include <utility>
+
+#include "../read/json.h"
 
 namespace robinpin::node {
 
@@ -139,7 +140,7 @@
   if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
   asio::error_code wrong;
   const auto address = asio::ip::make_address(host, wrong);
-  if (wrong || port < 1 || port > 65535) throw std::runtime_error("'" + text + "' is not address:port");
+  if (wrong || port < 1 || port > 65535) read::wrong("'" + text + "' is not address:port");
   return {address, std::uint16_t(port)};
 }
 
--- a/src/node/connection.h
+++ b/src/node/connection.h
@@ -89,7 +89,7 @@
 // Has the kernel stamp what reaches this socket, or those accepted from it.
 void stamp_arrivals(int socket);
 
-// "address:port", numeric; throws std::runtime_error with the text if it is none.
+// "address:port", numeric; throws read::malformed with the text if it is none.
 tcp::endpoint endpoint_of(const std::string& text);
 
 }  // namespace robinpin::node
--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -20,13 +20,8 @@
   News::Entry entry;
   entry.line = line_of(e, names);
   if (entry.line.state != standing::gone || find(e, "endpoint")) {
-    try {
-      entry.at = endpoint_of(text(need(e, "endpoint"), "endpoint"));
-    } catch (const malformed&) {
-      throw;
-    } catch (const std::exception& failure) {
-      wrong(std::string("endpoint ") + failure.what());
-    }
+    const std::string at = text(need(e, "endpoint"), "endpoint");
+    entry.at = inside("endpoint", [&] { return endpoint_of(at); });
   }
   return entry;
 }
@@ -99,7 +94,7 @@
 awaitable<std::optional<News>> List::watch() {
   ++counters_.list_calls;
   if (!connection_ || !connection_->quiet()) {
-    if (connection_) connection_.reset();
+    connection_.reset();
     sockets_.make_room();
     connection_ = std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE, list_limits);
     connection_->limit(steady::now() + dial_limit);
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -50,18 +50,16 @@
 
   awaitable<void> keep_up(std::function<awaitable<void>()> part) {
     asio::steady_timer pause(io_);
-    for (bool again = true; again;) {
-      again = false;
+    for (;;) {
       try {
         co_await part();
+        co_return;
       } catch (const std::exception& failure) {
         ++counters_.exceptions;
         log::error("{}", failure.what());
-        again = true;
       }
       pause.expires_after(std::chrono::milliseconds(20));
-      asio::error_code ignored;
-      if (again) co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      co_await pause.async_wait(asio::use_awaitable);
     }
   }
 
