SIGHUP reads the configuration again and moves discovery; it ended the node

At fault: main.cpp had no handler for SIGHUP; boot.cpp let EDGE_DISCOVERY override the file also when it is read again; list.cpp had no way to drop a watch other than a failure, after which the module backs off. Now main reads the file again, the file's address holds, List::move drops the watch and asks for the whole list at once. A faulty file is logged with its key.

--- a/src/node/boot.cpp
+++ b/src/node/boot.cpp
@@ -99,4 +99,9 @@
   return boot_from({std::istreambuf_iterator<char>(file), {}}, variable);
 }
 
+Boot boot_again(const environment& variable) {
+  return boot(
+      [&](const char* name) { return std::string_view(name) == "EDGE_DISCOVERY" ? nullptr : variable(name); });
+}
+
 }  // namespace robinpin::node
--- a/src/node/boot.h
+++ b/src/node/boot.h
@@ -25,5 +25,8 @@
 Boot boot_from(const std::string& text, const environment& variable);
 // Reads the file that EDGE_CONFIG names.
 Boot boot(const environment& variable);
+// Reads it again while the node runs. What the environment said of discovery was said at the start: now the
+// file's address holds.
+Boot boot_again(const environment& variable);
 
 }  // namespace robinpin::node
--- a/src/node/desk.cpp
+++ b/src/node/desk.cpp
@@ -81,7 +81,15 @@
   carry_out(balancer_.list_told(clock_.now(), lines, whole, asked));
 }
 
-void Desk::list_failed() { carry_out(balancer_.list_failed(clock_.now())); }
+void Desk::list_failed() {
+  list_wanted_ = false;
+  carry_out(balancer_.list_failed(clock_.now()));
+}
+
+void Desk::want_list() {
+  list_wanted_ = true;
+  list_.cancel();
+}
 
 // Withdrawals go first: the final answer is the last order that is picked.
 void Desk::carry_out(const Decisions& d) {
@@ -89,10 +97,7 @@
   for (const auto& s : d.sends) give(s.txn, {Order::what::post, 0, s.server, 0});
   for (const auto& f : d.finals)
     give(f.txn, {f.declined ? Order::what::declined : Order::what::reversed, 0, {}, f.come_back});
-  if (d.list != list_call::none) {
-    list_wanted_ = true;
-    list_.cancel();
-  }
+  if (d.list != list_call::none) want_list();
   if (d.wake_in > 0) {
     due_ = balancer_.now + d.wake_in;
     wake_.expires_at(clock_.at(due_));
--- a/src/node/desk.h
+++ b/src/node/desk.h
@@ -54,6 +54,7 @@
   void leave(const visit& v);  // the client has gone away
   awaitable<void> tick();      // runs as long as the node
 
+  void want_list();  // without waiting until the module asks
   awaitable<void> list_wanted();
   void list_told(const std::vector<Line>& lines, bool whole, bool asked);
   void list_failed();
--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -69,18 +69,31 @@
 awaitable<void> List::follow() {
   for (;;) {
     co_await desk_.list_wanted();
+    moved_ = false;
     try {
       co_await watch_on();
     } catch (const std::exception& failure) {
       ++counters_.exceptions;
       log::error("discovery: {}", failure.what());
     }
-    ++counters_.list_failures;
     connection_.reset();
+    if (moved_) continue;  // dropped by us: no failure that the module should wait after
+    ++counters_.list_failures;
     desk_.list_failed();
   }
 }
 
+// Versions may be counted anew elsewhere, and a watch after one that never comes would wait for ever: the whole
+// list is asked for.
+void List::move(tcp::endpoint to) {
+  if (to == at_) return;
+  at_ = to;
+  version_ = 0;
+  moved_ = true;
+  if (connection_) connection_->close();
+  desk_.want_list();
+}
+
 // A watch ends unless the next call comes at once after each answer.
 awaitable<void> List::watch_on() {
   for (bool first = true;; first = false) {
--- a/src/node/list.h
+++ b/src/node/list.h
@@ -34,6 +34,8 @@
        tcp::endpoint at);
   void told(const News& news, bool asked);
   awaitable<void> follow();  // runs as long as the node
+  // From now on the list is told elsewhere: it is asked there at once, from the start.
+  void move(tcp::endpoint to);
 
  private:
   awaitable<std::optional<News>> watch();
@@ -47,6 +49,7 @@
   tcp::endpoint at_;
   std::shared_ptr<Connection> connection_;
   long long version_ = 0;
+  bool moved_ = false;  // while a call was out
 };
 
 }  // namespace robinpin::node
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -14,6 +14,8 @@
 namespace robinpin::node {
 namespace {
 
+const char* variable_of(const char* name) { return std::getenv(name); }
+
 class Node {
  public:
   explicit Node(Boot b)
@@ -24,7 +26,8 @@
         list_(io_, sockets_, counters_, desk_, servers_, boot_.discovery),
         clients_(io_, clock_, sockets_, counters_, desk_, servers_, boot_.house),
         ends_(io_, SIGTERM, SIGINT),
-        asks_(io_, SIGUSR1) {}
+        asks_(io_, SIGUSR1),
+        renewals_(io_, SIGHUP) {}
 
   void run() {
     list_.told(boot_.known, false);
@@ -35,6 +38,7 @@
     spawn([this] { return clients_.accept(); });
     spawn([this] { return await_end(); });
     spawn([this] { return print_when_asked(); });
+    spawn([this] { return read_when_renewed(); });
     log::info("{}: tier {} of {}, serves at {}:{}, {} servers known, {} sockets", boot_.name,
               boot_.house.terms.tier, boot_.house.terms.tiers, boot_.listen.address().to_string(),
               boot_.listen.port(), boot_.known.entries.size(), boot_.most_sockets);
@@ -77,6 +81,21 @@
     }
   }
 
+  // A new configuration may move discovery; all else holds until the next start. A faulty one changes nothing.
+  awaitable<void> read_when_renewed() {
+    for (;;) {
+      co_await renewals_.async_wait(asio::use_awaitable);
+      try {
+        const Boot renewed = boot_again(variable_of);
+        list_.move(renewed.discovery);
+        log::info("{}: configuration read again, discovery at {}:{}", boot_.name,
+                  renewed.discovery.address().to_string(), renewed.discovery.port());
+      } catch (const std::exception& faulty) {
+        log::error("{}: the new configuration is not used: {}", boot_.name, faulty.what());
+      }
+    }
+  }
+
   Boot boot_;
   Clock clock_;
   Counters counters_;
@@ -86,7 +105,7 @@
   Servers servers_;
   List list_;
   Clients clients_;
-  asio::signal_set ends_, asks_;
+  asio::signal_set ends_, asks_, renewals_;
 };
 
 }  // namespace
@@ -95,11 +114,12 @@
 int main() {
   using namespace robinpin::node;
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until the node can heed it: what it would renew has yet to be read
   // Where a standard stream is closed its number would go to a socket, and the log into that.
   for (int fd = 0; fd <= 2; ++fd)
     if (::fcntl(fd, F_GETFD) < 0) ::open("/dev/null", O_RDWR);
   try {
-    Node node(boot([](const char* name) -> const char* { return std::getenv(name); }));
+    Node node(boot(variable_of));
     node.run();
     return 0;
   } catch (const std::exception& failure) {
--- a/tests/boot_test.cpp
+++ b/tests/boot_test.cpp
@@ -1,5 +1,10 @@
 #include "boot.h"
 
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
 #include "help.h"
 
 using namespace robinpin;
@@ -65,6 +70,22 @@
   CHECK_THROWS_WITH(boot_from(text, nothing), Contains(what));
 }
 
+// The environment still says what held at the start.
+TEST_CASE("read again, the file says where discovery is, and a faulty file says what is wrong with it") {
+  const std::string path =
+      std::filesystem::temp_directory_path() / ("robinpin-" + std::to_string(::getpid()) + ".json");
+  const auto variable = [&](const char* name) -> const char* {
+    if (std::string(name) == "EDGE_DISCOVERY") return "127.0.0.1:9";
+    return std::string(name) == "EDGE_CONFIG" ? path.c_str() : nullptr;
+  };
+  std::ofstream(path) << good;
+  CHECK(boot(variable).discovery == endpoint_of("127.0.0.1:9"));
+  CHECK(boot_again(variable).discovery == endpoint_of("127.0.0.1:8500"));
+  std::ofstream(path) << with("127.0.0.1:8500", "nowhere");
+  CHECK_THROWS_WITH(boot_again(variable), Contains("discovery"));
+  std::filesystem::remove(path);
+}
+
 TEST_CASE("no file, no node") {
   CHECK_THROWS_WITH(boot(nothing), Contains("EDGE_CONFIG"));
   CHECK_THROWS_WITH(
@@ -88,3 +109,26 @@
                              R"({"rev":1,"targets":[{"uid":"a","state":"Gone","boot_ms":1e300}]})"})
     CHECK_FALSE(news_of(std::string_view(broken)));
 }
+
+TEST_CASE("discovery that moves is asked at its new address at once, and nothing has failed") {
+  Parts p;
+  StandIn old(p.io, "");
+  const std::string news =
+      R"({"rev":2,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:30","state":"Ready"}]})";
+  StandIn present(p.io, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(news.size()) + "\r\n\r\n" + news);
+  List list(p.io, p.sockets, p.counters, p.desk, p.servers, old.at());
+  asio::co_spawn(p.io, list.follow(), asio::detached);
+  const bool watched = GENERATE(true, false);
+  if (watched) {
+    p.desk.want_list();
+    p.io.run_for(20ms);
+    REQUIRE(old.got.size() == 1);
+  }
+  list.move(present.at());
+  p.io.run_for(20ms);
+  CHECK(old.got.size() == (watched ? 1 : 0));
+  REQUIRE(!present.got.empty());
+  CHECK_THAT(present.got[0], Contains("after=0&"));
+  CHECK(p.servers.any());
+  CHECK(p.counters.list_failures == 0);
+}
--- a/tests/help.h
+++ b/tests/help.h
@@ -11,6 +11,7 @@
 
 #include "clients.h"
 #include "desk.h"
+#include "list.h"
 #include "robinpin/choice.h"
 #include "servers.h"
 
