--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -17,7 +17,9 @@
 constexpr auto idle_limit = 90s, message_limit = 10s, write_limit = 5s;
 constexpr steady::duration slow_sender = 300ms, fresh = 250ms;
 constexpr auto bind_limit = 5s;
-constexpr auto listen_on = 600ms, last_words = 500ms;
+constexpr auto last_words = 500ms;
+// After SIGTERM a node has the longest expiry, of this at the most, and then a little more for its last answers.
+constexpr micros longest_notice = 3'000'000, last_answers = 600'000;
 constexpr micros longest_wait = 3'600'000'000;
 constexpr std::size_t longest_id = 128;
 
@@ -173,7 +175,7 @@
 
 // A crowded node closes after an answer, where no client's next txn is crossed.
 bool Clients::stays(const Connection& c) const {
-  return c.in.keep_alive() && !draining_ && sockets_.open() < sockets_.most() * 3 / 4;
+  return c.in.keep_alive() && !closing_ && sockets_.open() < sockets_.most() * 3 / 4;
 }
 
 bool Clients::evict(doing what) {
@@ -195,22 +197,25 @@
     if (const auto c = s.connection.lock(); c && s.what == doing::nothing && c->quiet()) c->close();
 }
 
+// A client that is turned away finds nobody while its front still counts on this node and the others are
+// restarting too: who has a connection is served for as long as the node is sure to live.
 awaitable<void> Clients::drain() {
   draining_ = true;
-  close_idle();
+  micros longest = 0;
+  for (const auto& row : house_.terms.schemes) longest = std::max(longest, row.expiry);
+  const micros last_taken = clock_.now() + std::min(longest, longest_notice), end = last_taken + last_answers;
+  desk_.end_by(end);
   asio::steady_timer pause(io_);
-  pause.expires_after(listen_on);
+  pause.expires_at(clock_.at(last_taken));
   co_await pause.async_wait(asio::use_awaitable);
+  closing_ = true;
   asio::error_code ignored;
   acceptor_.close(ignored);
-  micros longest = 0;
-  for (const auto& row : house_.terms.schemes) longest = std::max(longest, row.expiry);
-  const auto end = steady::now() + std::chrono::microseconds(longest);
   do {
     close_idle();
     pause.expires_after(20ms);
     co_await pause.async_wait(asio::use_awaitable);
-  } while (!seats_.empty() && steady::now() < end);
+  } while (!seats_.empty() && clock_.now() < end);
 }
 
 awaitable<void> Clients::serve(connection c) {
--- a/src/node/clients.h
+++ b/src/node/clients.h
@@ -33,7 +33,7 @@
   void listen(tcp::endpoint at);  // throws if it can't
   tcp::endpoint at() const { return acceptor_.local_endpoint(); }
   awaitable<void> accept();  // until drained
-  // From now on not ready; goes on listening for a while, answers what it has taken, then returns.
+  // From now on not ready; goes on serving for as long as the longest expiry, answers all, then returns.
   awaitable<void> drain();
 
  private:
@@ -71,7 +71,7 @@
   const read::House& house_;
   tcp::acceptor acceptor_;
   std::list<Seat> seats_;  // the longest idle or reading first
-  bool draining_ = false;
+  bool draining_ = false, closing_ = false;
 };
 
 }  // namespace robinpin::node
--- a/src/node/desk.cpp
+++ b/src/node/desk.cpp
@@ -25,6 +25,7 @@
   visits_[id] = v;
   ++counters_.txns_taken;
   carry_out(balancer_.txn_taken(arrived, id, scheme, tenant, left, cost));
+  if (ends_ > 0) clip();
   return v;
 }
 
@@ -58,6 +59,18 @@
   give(v->id, {Order::what::gone, 0, {}, 0});
 }
 
+void Desk::end_by(micros at) {
+  ends_ = at;
+  clip();
+}
+
+// What the client would still wait for is left as it was told until the txn is taken: less would look like a
+// repeat.
+void Desk::clip() {
+  for (auto& [id, t] : balancer_.txns) t.expiry = std::min(t.expiry, ends_);
+  carry_out(balancer_.woke(clock_.now()));
+}
+
 awaitable<void> Desk::tick() {
   for (;;) {
     asio::error_code moved;
--- a/src/node/desk.h
+++ b/src/node/desk.h
@@ -52,6 +52,7 @@
   awaitable<Order> pick(visit v);  // the next order; the last is a final answer or gone
   void report(const visit& v, int posting, ending how, micros lag, const Report* report);
   void leave(const visit& v);  // the client has gone away
+  void end_by(micros at);      // no txn may wait longer: the node ends
   awaitable<void> tick();      // runs as long as the node
 
   void want_list();  // without waiting until the module asks
@@ -62,6 +63,7 @@
  private:
   void carry_out(const Decisions& d);
   void give(const std::string& id, Order order);
+  void clip();
 
   asio::io_context& io_;
   const Clock& clock_;
@@ -69,7 +71,8 @@
   Balancer balancer_;
   std::unordered_map<std::string, visit> visits_;  // by txn, while it is not over or postings are out
   asio::steady_timer wake_, list_;
-  micros due_ = 0;  // of the next look; 0: none
+  micros due_ = 0;    // of the next look; 0: none
+  micros ends_ = 0;   // when the node does; 0: not told
   bool list_wanted_ = false;
 };
 
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -44,6 +44,20 @@
 }
 
 // A node that was held up must neither take a txn for a client's repeat nor promise it time that has passed.
+TEST_CASE("no txn outlives the node, whenever it was taken") {
+  Parts p;
+  p.knows("a", here);
+  const bool before = GENERATE(true, false);
+  const micros end = p.clock.now() + 60 * ms;
+  if (!before) p.desk.end_by(end);
+  const auto v = p.desk.take("1", 2, 0, p.clock.now(), 2000 * ms, 0);
+  if (before) p.desk.end_by(end);
+  REQUIRE(next(p, v).next == Order::what::post);
+  CHECK(next(p, v).next == Order::what::withdraw);
+  CHECK(next(p, v).next == Order::what::reversed);
+  CHECK(p.clock.now() < end + 200 * ms);
+}
+
 TEST_CASE("a txn that was read late is posted all the same, and its time counts from its arrival") {
   Parts p;
   p.knows("a", here);
