Bad clients and servers: absolute time limits, stricter reading, gone servers erased

Changed: a first message must be whole 2.5 s after connecting (it was 10 s, from its first byte, and 90 s of silence); headers, targets, lengths, ids and keys must have their form; GET has no body; an answer without a length that stays open is spoilt at once; nothing is read behind an answer; servers that are gone leave Servers::peers_ and exchange holds no reference over a wait; a silent crowd gives way after 50 ms.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -14,14 +14,15 @@
 namespace {
 
 using namespace std::chrono_literals;
-constexpr auto idle_limit = 90s, message_limit = 10s, write_limit = 5s;
-constexpr steady::duration slow_sender = 300ms, fresh = 250ms;
+// A first txn must be whole so soon after its client has connected, whatever trickles in; later ones after
+// their first byte.
+constexpr steady::duration message_limit = 2500ms, idle_limit = 3s, write_limit = 5s;
+constexpr steady::duration slow_sender = 300ms, fresh = 250ms, newcomer = 50ms, linger = 20ms;
 constexpr auto bind_limit = 5s;
 constexpr auto last_words = 500ms;
 // After SIGTERM a node has the longest expiry, of this at the most, and then a little more for its last answers.
 constexpr micros longest_notice = 3'000'000, last_answers = 600'000;
 constexpr micros longest_wait = 3'600'000'000;
-constexpr std::size_t longest_id = 128;
 
 std::string_view phrase(int status) {
   switch (status) {
@@ -85,11 +86,12 @@
     a.why = why;
     return a;
   };
+  if (!m.clean()) return bad(400, "a name, value, target or length that is not HTTP");
   for (const char* once : {"Request-Id", "Request-Class", "Tenant", "Request-Timeout-Ms", "Idempotency-Key"})
     if (m.times(once) > 1) return bad(400, "a header that may stand once stands twice");
   Asked a;
   a.id = m.header("Request-Id");
-  if (a.id.empty() || a.id.size() > longest_id) return bad(400, "Request-Id is missing or too long");
+  if (!plain_word(a.id)) return bad(400, "Request-Id is missing or not a plain word");
   const auto scheme = house.schemes.find(std::string(m.header("Request-Class")));
   if (scheme == house.schemes.end()) return bad(400, "Request-Class is missing or not known");
   a.scheme = scheme->second;
@@ -104,8 +106,13 @@
   const repeats kind = house.terms.schemes[std::size_t(a.scheme)].kind;
   if (m.method() != (kind == repeats::repeatable ? "GET" : "POST"))
     return bad(405, "the method is not the one of that Request-Class");
-  if (kind == repeats::referenced && m.header("Idempotency-Key").empty())
-    return bad(400, "Idempotency-Key is missing");
+  // What is said to have no body and has one may be read as two requests by the next.
+  if (kind == repeats::repeatable &&
+      (m.has_body() || m.times("Transfer-Encoding") > 0 || whole_number(m.header("Content-Length")) > 0))
+    return bad(400, "GET with a body");
+  const int keys = m.times("Idempotency-Key");
+  if (kind == repeats::referenced ? !plain_word(m.header("Idempotency-Key")) : keys > 0)
+    return bad(400, "Idempotency-Key is missing, not a plain word, or not for that Request-Class");
   a.cost = double(std::max(0LL, whole_number(m.header("Work-Hint"))));  // no more than a hint: else none
   a.outbound = outbound_of(m);
   return a;
@@ -168,22 +175,25 @@
   }
 }
 
-// Those between txns go first, but not one so fresh that its client may be sending just now; then those that
-// are still sending, for what has not come whole is not taken. Else a few slow senders could keep all others
-// out.
-bool Clients::evict() { return evict(doing::nothing) || evict(doing::reading); }
+// Who has been turned away goes first, then who has connected and says nothing, then those between txns, but not
+// one so fresh that its client may be sending just now; then those that are still sending, for what has not come
+// whole is not taken. Else a crowd that is silent or slow could keep all others out.
+bool Clients::evict() {
+  return evict(doing::leaving, linger) || evict(doing::arriving, newcomer) || evict(doing::nothing, fresh) ||
+         evict(doing::reading, slow_sender);
+}
 
 // A crowded node closes after an answer, where no client's next txn is crossed.
 bool Clients::stays(const Connection& c) const {
   return c.in.keep_alive() && !closing_ && sockets_.open() < sockets_.most() * 3 / 4;
 }
 
-bool Clients::evict(doing what) {
+bool Clients::evict(doing what, steady::duration old) {
   const auto now = steady::now();
+  const bool said_nothing = what == doing::arriving || what == doing::nothing;
   for (const Seat& s : seats_)
-    if (const auto c = s.connection.lock(); c && s.what == what && c->open() &&
-                                            now - s.since > (what == doing::reading ? slow_sender : fresh) &&
-                                            (what == doing::reading || c->quiet())) {
+    if (const auto c = s.connection.lock(); s.what == what && c && c->open() && now - s.since > old &&
+                                            (!said_nothing || c->quiet())) {
       ++counters_.clients_evicted;
       c->close();
       return true;
@@ -194,7 +204,9 @@
 // Only what is quiet: what has begun to send is served first.
 void Clients::close_idle() {
   for (const Seat& s : seats_)
-    if (const auto c = s.connection.lock(); c && s.what == doing::nothing && c->quiet()) c->close();
+    if (const auto c = s.connection.lock();
+        c && (s.what == doing::nothing || s.what == doing::arriving) && c->quiet())
+      c->close();
 }
 
 // A client that is turned away finds nobody while its front still counts on this node and the others are
@@ -219,11 +231,12 @@
 }
 
 awaitable<void> Clients::serve(connection c) {
-  const seat s = seats_.insert(seats_.end(), Seat{c, doing::nothing, steady::now()});
+  const seat s = seats_.insert(seats_.end(), Seat{c, doing::arriving, steady::now()});
   bool failed = false;
   try {
-    while (co_await serve_next(c, s)) {
-    }
+    const auto first_until = steady::now() + message_limit;
+    for (bool first = true; co_await serve_next(c, s, first ? first_until : steady::time_point::max());)
+      first = false;
   } catch (const std::exception& failure) {
     ++counters_.exceptions;
     log::error("client connection: {}", failure.what());
@@ -246,18 +259,18 @@
 }
 
 // One message and its answer; false when the connection is at its end.
-awaitable<bool> Clients::serve_next(connection c, seat s) {
+awaitable<bool> Clients::serve_next(connection c, seat s, steady::time_point until) {
   reading got = c->in.next();
   asio::error_code error;
   if (got == reading::unfinished && !c->in.begun()) {
-    now_doing(s, doing::nothing);
-    c->limit(steady::now() + idle_limit);
+    if (s->what != doing::arriving) now_doing(s, doing::nothing);
+    c->limit(std::min(until, steady::now() + idle_limit));
     co_await c->socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return false;
   }
   if (got == reading::unfinished) {
     now_doing(s, doing::reading);
-    c->limit(steady::now() + message_limit);
+    c->limit(std::min(until, steady::now() + message_limit));
     got = co_await c->read(error);
     if (got == reading::unfinished) co_return false;
   }
@@ -267,25 +280,26 @@
     case reading::complete:
       break;
     case reading::body_too_long:
-      co_return co_await turn_down(c, 413, "the body is too long");
+      co_return co_await turn_down(c, s, 413, "the body is too long");
     case reading::head_too_long:
-      co_return co_await turn_down(c, 431, "the headers are too long");
+      co_return co_await turn_down(c, s, 431, "the headers are too long");
     default:
-      co_return co_await turn_down(c, 400, "not HTTP/1.1");
+      co_return co_await turn_down(c, s, 400, "not HTTP/1.1");
   }
   const std::string_view target = c->in.target();
-  if (c->in.connects()) co_return co_await turn_down(c, 405, "no tunnels");
-  if (target.starts_with("/health/") || target == "/counters") co_return co_await own_page(c);
-  co_return co_await txn(c);
+  if (c->in.connects()) co_return co_await turn_down(c, s, 405, "no tunnels");
+  if (target.starts_with("/health/") || target == "/counters") co_return co_await own_page(c, s);
+  co_return co_await txn(c, s);
 }
 
-awaitable<bool> Clients::turn_down(connection c, int status, std::string_view why) {
+awaitable<bool> Clients::turn_down(connection c, seat s, int status, std::string_view why) {
   ++counters_.bad_requests;
   const std::string body = fmt::format("{}\n", why);
   co_await answer(c, status, "Content-Type: text/plain\r\n", body, false);
   // To close on what the client still sends would reset the connection before it has read the answer.
   asio::error_code error;
   c->socket.shutdown(tcp::socket::shutdown_send, error);
+  now_doing(s, doing::leaving);
   c->limit(steady::now() + last_words);
   std::array<char, 4096> rest{};
   while (!error)
@@ -293,22 +307,22 @@
   co_return false;
 }
 
-awaitable<bool> Clients::own_page(connection c) {
+awaitable<bool> Clients::own_page(connection c, seat s) {
   ++counters_.health_calls;
   const std::string_view target = c->in.target();
   constexpr std::string_view plain = "Content-Type: text/plain\r\n";
-  if (c->in.method() != "GET") co_return co_await turn_down(c, 405, "only GET");
+  if (c->in.method() != "GET") co_return co_await turn_down(c, s, 405, "only GET");
   if (target == "/counters") co_return co_await answer(c, 200, plain, counters_.text());
   if (target == "/health/live") co_return co_await answer(c, 200, plain, "live\n");
-  if (target != "/health/ready") co_return co_await turn_down(c, 404, "no such page");
+  if (target != "/health/ready") co_return co_await turn_down(c, s, 404, "no such page");
   const bool ready = !draining_ && servers_.any();
   co_return co_await answer(c, ready ? 200 : 503, plain, ready ? "ready\n" : "not ready\n");
 }
 
-awaitable<bool> Clients::txn(connection c) {
+awaitable<bool> Clients::txn(connection c, seat s) {
   const Asked asked = asked_of(c->in, house_);
-  if (asked.status != 0) co_return co_await turn_down(c, asked.status, asked.why);
-  if (desk_.knows(asked.id)) co_return co_await turn_down(c, 409, "Request-Id is in use");
+  if (asked.status != 0) co_return co_await turn_down(c, s, asked.status, asked.why);
+  if (desk_.knows(asked.id)) co_return co_await turn_down(c, s, 409, "Request-Id is in use");
   c->in.let_go();
   const Desk::visit v =
       desk_.take(asked.id, asked.scheme, asked.tenant, clock_.of(c->arrived()), asked.left, asked.cost);
--- a/src/node/clients.h
+++ b/src/node/clients.h
@@ -38,7 +38,7 @@
 
  private:
   using connection = std::shared_ptr<Connection>;
-  enum class doing { nothing, reading, txn };
+  enum class doing { arriving, nothing, reading, txn, leaving };
   struct Seat {  // of an open connection
     std::weak_ptr<Connection> connection;
     doing what = doing::nothing;
@@ -48,14 +48,14 @@
 
   void now_doing(seat s, doing what);
   bool evict();
-  bool evict(doing what);
+  bool evict(doing what, steady::duration old);
   void close_idle();
   awaitable<void> serve(connection c);
-  awaitable<bool> serve_next(connection c, seat s);
+  awaitable<bool> serve_next(connection c, seat s, steady::time_point until);
   bool stays(const Connection& c) const;
-  awaitable<bool> turn_down(connection c, int status, std::string_view why);
-  awaitable<bool> own_page(connection c);
-  awaitable<bool> txn(connection c);
+  awaitable<bool> turn_down(connection c, seat s, int status, std::string_view why);
+  awaitable<bool> own_page(connection c, seat s);
+  awaitable<bool> txn(connection c, seat s);
   awaitable<void> posting(Desk::visit v, std::shared_ptr<Call> call, Order order,
                           std::shared_ptr<const Outbound> outbound);
   awaitable<bool> answer(connection c, int status, std::string_view headers, std::string_view body,
--- a/src/node/http.cpp
+++ b/src/node/http.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <climits>
+#include <cstdint>
 #include <cstring>
 
 namespace robinpin::node {
@@ -13,8 +14,16 @@
 
 char lower(char c) { return c >= 'A' && c <= 'Z' ? char(c - 'A' + 'a') : c; }
 
+bool letter(char c) { return (lower(c) >= 'a' && lower(c) <= 'z') || (c >= '0' && c <= '9'); }
+
 }  // namespace
 
+bool plain_word(std::string_view s) {
+  return !s.empty() && s.size() <= 128 && std::all_of(s.begin(), s.end(), [](char c) {
+    return letter(c) || c == '-' || c == '_' || c == '.' || c == ':' || c == '~';
+  });
+}
+
 bool same_name(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
@@ -69,6 +78,11 @@
       m.head_done_ = true;
       if (p->http_major != 1) m.failed_ = reading::malformed;
       const bool told = p->content_length != ULLONG_MAX;
+      // Without a length, and kept open all the same, it would never end: its head is spoilt.
+      const bool bare = p->status_code < 200 || p->status_code == 204 || p->status_code == 304;
+      if (p->type == HTTP_RESPONSE && !told && !bare && (p->flags & (F_CHUNKED | F_CONNECTION_CLOSE)) == 0 &&
+          p->http_minor > 0)
+        m.failed_ = reading::malformed;
       if (told && p->content_length > m.limits_.body) m.failed_ = reading::body_too_long;
       return m.failed_ == reading::unfinished ? 0 : -1;
     };
@@ -175,6 +189,21 @@
   return {};
 }
 
+bool Message::clean() const {
+  static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+  const auto in_name = [&](char c) { return letter(c) || marks.find(c) != marks.npos; };
+  const auto visible = [](char c) { return c > ' ' && c < 127; };
+  const auto printed = [&](char c) { return visible(c) || c == ' ' || c == '\t' || std::uint8_t(c) > 127; };
+  const auto all = [](std::string_view s, auto fits) { return std::all_of(s.begin(), s.end(), fits); };
+  for (std::size_t i = 0; i < headers_.size(); ++i) {
+    const auto [name, value] = header(i);
+    if (name.empty() || !all(name, in_name) || !all(value, printed)) return false;
+  }
+  const auto told = header("Content-Length");
+  if (times("Content-Length") > 0 && whole_number(told) < 0) return false;
+  return all(target(), visible);
+}
+
 int Message::times(std::string_view name) const {
   return int(std::count_if(headers_.begin(), headers_.end(),
                            [&](const auto& h) { return same_name(text(h.first), name); }));
--- a/src/node/http.h
+++ b/src/node/http.h
@@ -35,6 +35,10 @@
   bool begun() const { return begun_; }           // of the present message anything has come
   bool behind() const { return end_ > parsed_; }  // bytes of a next one have come
   bool keep_alive() const { return keep_alive_; }
+  bool has_body() const { return body_.size > 0; }
+  // Everything in it is as the standard has it: names, target, length. What only one reader understands could
+  // hide something from the next.
+  bool clean() const;
   // Gives back the memory of a long message that has been copied; what it said is gone, but for keep_alive().
   void let_go();
   int status() const { return parser_.status_code; }
@@ -72,6 +76,7 @@
 };
 
 bool same_name(std::string_view a, std::string_view b);
+bool plain_word(std::string_view s);  // fit for an id: letters, digits and -_.:~, 128 at the most
 std::string_view trim(std::string_view s);  // of blanks
 // A whole number without sign or blanks; -1 if it is none or too large.
 long long whole_number(std::string_view text);
--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -58,10 +58,13 @@
 
 void List::told(const News& news, bool asked) {
   std::vector<Line> lines;
+  std::unordered_set<std::string> servers;
   for (const auto& [line, at] : news.entries) {
     servers_.told(line.server, at, line.started, line.state == standing::gone);
     lines.push_back(line);
+    servers.insert(line.server);
   }
+  if (news.whole) servers_.only(servers);
   version_ = news.version;
   desk_.list_told(lines, news.whole, asked);
 }
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -47,10 +47,18 @@
 }
 
 void Servers::told(const std::string& uid, tcp::endpoint at, micros started, bool gone) {
+  if (gone) {
+    peers_.erase(uid);
+    return;
+  }
   Peer& peer = peers_[uid];
-  if (gone || peer.at != at || peer.started != started) peer.idle.clear();
+  if (peer.at != at || peer.started != started) peer.idle.clear();
   peer.started = started;
-  if (!gone) peer.at = at;
+  peer.at = at;
+}
+
+void Servers::only(const std::unordered_set<std::string>& told) {
+  std::erase_if(peers_, [&](const auto& p) { return !told.contains(p.first); });
 }
 
 // The last used goes first, so that those not needed grow old and are closed.
@@ -67,11 +75,13 @@
 
 void Servers::keep(const std::string& uid, std::shared_ptr<Connection> c) {
   c->no_limit();
-  Peer& peer = peers_[uid];
+  const auto p = peers_.find(uid);
   asio::error_code gone;
-  if (c->socket.remote_endpoint(gone) != peer.at || gone || peer.idle.size() >= most_idle) return;
+  if (p == peers_.end() || c->socket.remote_endpoint(gone) != p->second.at || gone ||
+      p->second.idle.size() >= most_idle)
+    return;
   c->idle_since = steady::now();
-  peer.idle.push_back(std::move(c));
+  p->second.idle.push_back(std::move(c));
 }
 
 bool Servers::evict() {
@@ -110,9 +120,10 @@
 awaitable<void> Servers::exchange(Call& call, const std::string& uid, const Outbound& outbound,
                                   micros expiry) {
   Answer& a = call.answer;
-  Peer& peer = peers_[uid];
-  if (call.withdrawn) co_return;
-  call.connection = kept(peer);
+  const auto p = peers_.find(uid);
+  if (p == peers_.end() || call.withdrawn) co_return;
+  const tcp::endpoint at = p->second.at;  // the peer itself may be gone after any wait
+  call.connection = kept(p->second);
   if (call.connection) {
     ++counters_.reuses;
   } else {
@@ -123,7 +134,7 @@
     ++counters_.dials;
     call.connection = std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE);
     call.connection->limit(clock_.at(std::min(expiry, clock_.now() + house_.dial_limit)));
-    if (co_await call.connection->connect(peer.at)) {
+    if (co_await call.connection->connect(at)) {
       ++counters_.dials_failed;
       co_return;
     }
@@ -152,8 +163,10 @@
     co_return;
   }
   read_answer(call, c.in);
-  const bool again = c.in.keep_alive() && c.in.next() == reading::unfinished;
-  if (again && c.quiet()) keep(uid, std::move(call.connection));
+  // What comes behind an answer was not asked for: nothing else may be read there.
+  if (!c.in.keep_alive() || c.in.behind()) co_return;
+  c.in.next();
+  if (c.quiet()) keep(uid, std::move(call.connection));
 }
 
 void Servers::read_answer(Call& call, const Message& m) const {
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "../read/house.h"
@@ -50,6 +51,7 @@
 
   // An address or a start that is new makes what is kept to the old one worthless.
   void told(const std::string& uid, tcp::endpoint at, micros started, bool gone);
+  void only(const std::unordered_set<std::string>& told);  // the whole list: all others are gone
   // Posts once; the outcome and how far it came are values in `call->answer`. Nothing is sent a second time.
   awaitable<void> post(std::shared_ptr<Call> call, std::string uid, std::shared_ptr<const Outbound> outbound,
                        micros expiry);
