One quick failure joins no window; an error leaves a server out for its own scheme, longer in a row

At fault: choice.cpp, posting_ended and sample: each error joined the window of its server for all schemes; two of fifty samples put a server behind the tied (1/W), all txns went to the luckiest, which crowded. Ruled out: stalls (a probe: every spoilt answer ends at once), the servers' own queues before that. Now a single quick failure is no sample; an error leaves its server out for that scheme for 2 s, 4 s with the second in a row.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -127,6 +128,15 @@
       bins.pop_front();
     }
   }
+  // The table's row, and the reference for the next test, as the window stands.
+  void freeze(int used) {
+    reference = count;
+    reference_total = int(bins.size());
+    for (std::size_t b = 0, sum = 0; b < std::size_t(used); ++b) {
+      sum += count[b];
+      row[b] = bins.empty() ? 1.0F : float(sum) / float(bins.size());
+    }
+  }
   // The Kolmogorov-Smirnov distance to the reference, times the root of nm/(n+m).
   double change() const {
     const double n = double(bins.size()), m = reference_total;
@@ -141,6 +151,11 @@
   }
 };
 
+struct Fault {  // errors of one scheme at a server, in a row
+  int in_a_row = 0;
+  micros at = 0;  // the last
+};
+
 struct Server {
   Line line;
   Mean* kind = nullptr;  // how long calls of its kind of machine take, for their scheme and work
@@ -155,6 +170,7 @@
   bool on_trial = false;
   bool erring = false;  // its last txn ended in an error
   bool probing = false;
+  std::map<int, Fault> faults;  // by scheme
   Mean latency, crowd;
   double cold_credit = 0;
   micros credit_at = 0;
@@ -268,6 +284,7 @@
   Server* choose(const Txn& txn, micros left, bool& trial);
   bool cold_allows(Server& server, double circle_size);
   bool unchosen(const Server& server, double circle_size) const;
+  bool fails(const Server& server, int scheme) const;
   Circle circle() const;
   double abroad() const;
   void draw_rings();
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,7 +1,6 @@
-// robinpin's decisions, all of them. The front (src/wirehost) turns what happens at one node into calls on
-// one Balancer, and carries out the Decisions each call returns; interface and state:
-// include/robinpin/choice.h. After every input the ordered rules in run() are gone through until none fires.
-// Every posting passes may_post(), every final answer passes answer(): there the four rules are kept.
+// robinpin's decisions, all of them; interface and state: include/robinpin/choice.h. After every input the
+// ordered rules in run() are gone through until none fires. Every posting passes may_post(), every final
+// answer passes answer(): there the four rules are kept.
 #include "robinpin/choice.h"
 
 #include <algorithm>
@@ -30,10 +29,9 @@
 constexpr double call_off_price = 0.1;  // points of service a call-off may cost at the most
 constexpr double crowded_home = 1.5;    // times the soonest foreseen
 constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
-constexpr micros slow_memory = 30 * second;
+constexpr micros slow_memory = 30 * second, calm_memory = 300 * second;
 constexpr micros circle_time = 2 * second;  // between calls to each server that a node keeps to
 constexpr double least_circle = 6;          // servers
-constexpr micros calm_memory = 300 * second;
 constexpr micros pace = 20'000;  // between looks at what is held
 
 template <typename Ranked, typename Condition>
@@ -71,15 +69,8 @@
 void Balancer::build() {
   pooled.fill(0);
   for (auto& [id, s] : servers) {
-    Window& w = s.window;
-    w.reference = w.count;
-    w.reference_total = int(w.bins.size());
-    int sum = 0;
-    for (std::size_t b = 0; b < std::size_t(bins); ++b) {
-      sum += w.count[b];
-      w.row[b] = w.bins.empty() ? 1.0F : float(sum) / float(w.bins.size());
-      pooled[b] = std::uint16_t(pooled[b] + w.count[b]);
-    }
+    s.window.freeze(bins);
+    for (std::size_t b = 0; b < most_bins; ++b) pooled[b] = std::uint16_t(pooled[b] + s.window.count[b]);
   }
 }
 
@@ -89,8 +80,7 @@
   server.wait_factor = 1;
   server.window.bins.clear();
   server.window.count.fill(0);
-  // Their overruns are not its own.
-  const int total = std::accumulate(pooled.begin(), pooled.begin() + bins - 1, 0);
+  const int total = std::accumulate(pooled.begin(), pooled.begin() + bins - 1, 0);  // overruns left out
   for (int b = 0, taken = 0, seen = 0; b + 1 < bins; ++b) {
     seen += pooled[std::size_t(b)];
     for (; taken < pooled_samples && (2 * taken + 1) * total <= 2 * pooled_samples * seen && total > 0;
@@ -150,6 +140,8 @@
     calm_at_ = now;
   }
   s.failures = good ? 0 : s.failures + 1;
+  // One quick failure among answers says nothing of a server: it would fall behind the tied for fifty calls.
+  if (s.failures == 1 && !trial && latency <= 4 * usual) return;
   // A window slides by trials alone too slowly to let a mended server back: a good trial starts it anew.
   if (trial && good && latency <= 3 * usual) start_anew(s);
   if (trial) s.wait_factor = good ? 1 : std::min(8, 2 * s.wait_factor);
@@ -160,9 +152,8 @@
 }
 
 // How many of this node's calls a server has room for. What answers at its calm pace has (settled a second) x
-// (calm latency) calls in flight; far more than that only wait, and a server kept crowded turns slow and
-// stays so. Txns of little value find less room and give way first. Inner tiers send what they get, paid for
-// already, but pass such servers over.
+// (calm latency) in flight; far more only wait, and a server kept crowded turns slow and stays so. Txns of
+// little value give way first. Inner tiers send what they get, paid for already, but pass such servers over.
 double Balancer::room(double part, const Fading& settled, double worth) const {
   return cores_guess * part * fleet_size / terms.nodes * (0.5 + worth) +
          (1 + room_factor / terms.tiers * worth) * settled.read(now, memory) / seen_for() *
@@ -170,8 +161,7 @@
 }
 
 // What part of the txns one of many nodes lets in. Its own calls in flight are too few to limit what hundreds
-// of nodes send, one call each is a crowd already; so chance does, by how much slower than calm their answers
-// are.
+// send, one each is a crowd already; so chance does, by how much slower than calm answers are.
 double Balancer::admitted(double worth) const {
   const double may_take = calm_ > 0 ? (1 + 0.5 * worth) * calm_ / double(typical()) : 1;
   return std::pow(std::min(1.0, may_take), 4 * (1 - 1 / std::sqrt(double(terms.nodes))));
@@ -265,6 +255,12 @@
          s.wait_factor * std::max(trial_after, fair_shares * circle_size / s.line.size);
 }
 
+// An error leaves a server to txns of other schemes for a while, for longer with each in a row.
+bool Balancer::fails(const Server& s, int scheme) const {
+  const auto f = s.faults.find(scheme);
+  return f != s.faults.end() && now - f->second.at < second << std::min(4, f->second.in_a_row);
+}
+
 // Time left to the SLA time, while it can be met; an answer after it earns nothing.
 micros Balancer::time_left(const Txn& txn) const {
   return (txn.sla > now ? std::min(txn.sla, txn.expiry) : txn.expiry) - now;
@@ -291,10 +287,9 @@
 }
 
 // The servers this node keeps to, so that it meets each every circle_time or so and its windows say
-// something: an arc, as long as its pace is good for, of a ring that is the same at all nodes, from a place
-// of its own. Each server counts for what of its size lies on the arc, so that all get alike; those left to
-// trials or cold for what they can do. Where crossings are priced the servers at home have a ring of their
-// own.
+// something: an arc, as long as its pace is good for, of a ring that is the same at all nodes, from a place of
+// its own. Each counts for what of its size lies on the arc, those left to trials or cold for what they can
+// do. Where crossings are priced the servers at home have a ring of their own.
 Circle Balancer::circle() const {
   Circle found;
   const double wanted = std::max(least_circle, arrivals.read(now, memory) / seen_for() * double(circle_time));
@@ -357,6 +352,7 @@
   // Who fails in a row is left to trials: with all others crowded, quick failures would draw everything.
   if (!all_fail) std::erase_if(ranked, [](const auto& r) { return r.server->failures >= failures_seen; });
   if (ranked.empty()) return nullptr;
+  pass_over(ranked, [&](const Near& r) { return fails(*r.server, txn.scheme); });
   pass_over(ranked, [&](const Near& r) {
     const auto out = double(r.server->out.size());
     return out > mean * r.server->line.size ||
@@ -373,8 +369,7 @@
       return r.server->line.zone == terms.zone && double(foreseen(*r.server)) > slow;
     });
   }
-  // Ties at random, by capacity: what a node of hundreds sends is too little to show it that the small are
-  // crowded. Of two drawn, the one foreseen to answer sooner, since latency grows with what is sent.
+  // Ties by capacity: a node of hundreds is not shown that the small are crowded. Of two drawn, the sooner.
   double tied = 0;
   for (const auto& r : ranked) tied += r.part;
   const auto draw = [&] {
@@ -425,9 +420,8 @@
   return (txn.in_share ? 1 : terms.beyond_share) * (0.5 + 0.5 * seen_[std::size_t(txn.scheme)].earning);
 }
 
-// Held txns go out, the most valuable first, while there is room. Those that the best server would hardly
-// answer in time are declined at once. Where more are held than can go out while the least of them may wait,
-// that one is declined: of what waits, most should end in an answer.
+// Held txns go out, the most valuable first, while there is room. Declined at once is what the best server
+// would hardly answer in time, and the least of them where more wait than can go out while it may.
 bool Balancer::post_next() {
   std::vector<std::pair<const std::string, Txn>*> held;
   for (auto& entry : txns)
@@ -465,9 +459,8 @@
 micros Balancer::patience(const Txn& t) const { return (std::min(t.sla, t.expiry) - t.taken) / 4; }
 
 // At its expiry a txn gets its answer, whatever is out. A held one that can't be answered in time is given up
-// at once, before posting: nothing is sent and answered in one input. While txns wait for room, one out that
-// can no longer earn is called off where that costs little: a crowded fleet would answer late and nothing
-// else.
+// before posting: nothing is sent and answered in one input. While txns wait for room, one out that can no
+// longer earn is called off where that costs little: a crowded fleet would answer late and nothing else.
 bool Balancer::give_up() {
   bool fired = false;
   const bool call_off = terms.tier == 0 && terms.may_withdraw && now - short_of_room_ <= second &&
@@ -521,8 +514,7 @@
   return fired;
 }
 
-// Looked at again is what is held, every so often, and what is out when a rule may next act on it: with
-// hundreds of nodes, looking at each posting all the time costs more than choosing.
+// Looked at again is what is held, every so often, and what is out when a rule may next act on it.
 bool Balancer::plan_wake() {
   micros at = terms.ask_list && !watching_ && !asked_ ? next_ask_ : never;
   for (const auto& [id, t] : txns) {
@@ -562,6 +554,13 @@
   }
   for (auto& [id, s] : servers)
     if (!s.known && s.told_off < 0) s.told_off = now;
+  // What is gone is forgotten with the last txn that was posted there.
+  std::set<const Server*> held;
+  for (const auto& [id, t] : txns)
+    for (const Posting& p : t.postings) held.insert(p.server);
+  std::erase_if(servers, [&](const auto& e) {
+    return !held.contains(&e.second) && (!e.second.known || e.second.line.state == standing::gone);
+  });
   draw_rings();
   build();
   return run();
@@ -638,6 +637,8 @@
   if (how != ending::moot && (how != ending::withdrawn || lag > 4 * typical())) {
     // A probe is answered by a server that fails its txns, too: such a one gets its trials from txns.
     s.erring = how == ending::error;
+    if (s.erring) s.faults[t.scheme] = {s.faults[t.scheme].in_a_row + 1, now};
+    if (how == ending::settled) s.faults.erase(t.scheme);
     sample(s, how == ending::settled, lag, p.trial);
   }
   if (final && !t.answered) close(id, t);
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -167,3 +167,44 @@
   for (int i = 0; i < 50; ++i) home += b.choose(txn(0), 400 * ms, trial)->line.server == "home";
   CHECK((at_home == 0 ? home == 50 : home < 50));
 }
+
+TEST_CASE("one quick failure leaves a server among the tied, a second in a row and a silent one don't") {
+  const auto [failures, lag, tied] =
+      GENERATE(table<int, micros, bool>({{1, 100 * ms, true}, {2, 100 * ms, false}, {1, 900 * ms, false}}));
+  Balancer b = knowing({"a", "b"});
+  fill(b, "a", 100 * ms);
+  fill(b, "b", 100 * ms);
+  for (int i = 0; i < 30; ++i) {
+    b.txns["1"] = txn(0);
+    b.txns["1"].postings = {posted(b, "b")};
+    b.posting_ended(noon + 100 * ms, "1", 0, ending::settled, 100 * ms, true, nullptr);
+  }
+  b.build();
+  for (int i = 0; i < failures; ++i) {
+    b.txns["1"] = txn(0);
+    b.txns["1"].postings = {posted(b, "a")};
+    b.posting_ended(noon + 100 * ms, "1", 0, ending::reset, lag, true, nullptr);
+  }
+  CHECK((b.servers["a"].window.count[std::size_t(b.bins - 1)] == 0) == tied);
+}
+
+// It may fail for one scheme alone: shut out from all, it would leave the others crowded.
+TEST_CASE("an error leaves a server to txns of other schemes, for longer with each in a row") {
+  Balancer b = knowing({"a", "b"});
+  const auto fails_at = [&](micros at) {
+    b.txns["1"] = txn(2);
+    b.txns["1"].postings = {posted(b, "a")};
+    b.posting_ended(at, "1", 0, ending::error, 50 * ms, true, nullptr);
+  };
+  fails_at(noon);
+  CHECK(b.fails(b.servers["a"], 2));
+  CHECK_FALSE(b.fails(b.servers["a"], 0));
+  CHECK_FALSE(b.fails(b.servers["b"], 2));
+  bool trial = false;
+  for (int i = 0; i < 20; ++i) CHECK(b.choose(txn(2), 400 * ms, trial)->line.server == "b");
+  fails_at(noon);
+  b.now = noon + 3000 * ms;
+  CHECK(b.fails(b.servers["a"], 2));
+  b.now = noon + 5000 * ms;
+  CHECK_FALSE(b.fails(b.servers["a"], 2));
+}
--- a/tests/gate_test.cpp
+++ b/tests/gate_test.cpp
@@ -108,10 +108,22 @@
     b.list_told(noon, {told}, false);
   }
   SECTION("absent") { b.list_told(noon, {line("b")}, true); }
-  CHECK_FALSE(b.may_post(txn(0), b.servers["a"]));
+  CHECK((!b.servers.contains("a") || !b.may_post(txn(0), b.servers["a"])));
   CHECK(b.may_post(txn(0), b.servers["b"]));
 }
 
+TEST_CASE("a server that is gone is forgotten, but not while a txn that was posted there goes on") {
+  Balancer b = knowing({"a", "b"});
+  b.txns["1"] = txn(2);
+  b.txns["1"].postings = {posted(b, "a")};
+  b.list_told(noon, {line("b")}, true);
+  REQUIRE(b.servers.contains("a"));
+  CHECK_FALSE(b.may_post(txn(0), b.servers["a"]));
+  b.txns.clear();
+  b.list_told(noon, {line("b")}, true);
+  CHECK_FALSE(b.servers.contains("a"));
+}
+
 TEST_CASE(
     "rule 4: a cold server gets a part of what a warm one gets, divided among the nodes by their own pace") {
   Terms t = terms();
