An answer may be as long as a 32nd of the node's memory, not 64 KiB; probes that led there

Probes on the way: declines (servers left out with up to 7 failures in a row), endings (430 errors, up to five a txn, 1 to 5 ms after each other), inner nodes (no error, no decline, 22 idle closes: ruled out), status of failed answers (300 of 308 bodies over 64 KiB: 128 to 395 KB, 87 txns of 1373). At fault: http.h, Limits::body for servers' answers: a good answer ended as an error, was posted five times and put every server in the wrong. Now up to memory_mb/32 (0.25 to 8 MiB), and a long buffer grows only as bytes come.

--- a/src/node/boot.cpp
+++ b/src/node/boot.cpp
@@ -16,6 +16,7 @@
     24;  // descriptors that are no sockets of peers: standard streams, epoll, signals, timers
 constexpr int least_sockets = 16;
 constexpr int usual_sockets = 1024;
+constexpr double usual_memory_mb = 256, parts_of_memory = 32;
 
 std::uint32_t seed_of(const std::string& hex) {
   std::uint64_t n = 0;
@@ -41,6 +42,16 @@
   return most - kept_back;
 }
 
+// Servers may say more than they should, and a good answer is not to be spoilt for it; but a few of the longest
+// must find room at once.
+std::size_t answer_of(const read::value& config) {
+  double mb = usual_memory_mb;
+  if (const auto* limits = read::find(config, "limits"))
+    mb = read::number(read::object(*limits, "limits"), "memory_mb", usual_memory_mb);
+  if (!(mb > 0)) read::wrong("limits.memory_mb is not above 0");
+  return std::size_t(std::clamp(mb / parts_of_memory, 0.25, 8.0) * 1024 * 1024);
+}
+
 // What no house can mean, and the module is not made for.
 void check(const read::House& h) {
   const auto above = [](double v, const char* name) {
@@ -80,6 +91,7 @@
   b.discovery = address("EDGE_DISCOVERY", "discovery");
   b.seed = seed_of(read::text(read::need(config, "seed"), "seed"));
   b.most_sockets = sockets_of(config);
+  b.most_answer = answer_of(config);
   if (const auto* known = read::find(config, "known"))
     b.known = read::inside("known", [&] { return news_of(*known); });
   const read::value& settings = read::object(read::need(config, "settings"), "settings");
--- a/src/node/boot.h
+++ b/src/node/boot.h
@@ -15,6 +15,7 @@
   tcp::endpoint listen, discovery;
   std::uint32_t seed = 0;
   int most_sockets = 0;  // descriptors for sockets, what the process needs besides taken off
+  std::size_t most_answer = 0;  // bytes of an answer's body
   News known;
   read::House house;
 };
--- a/src/node/http.cpp
+++ b/src/node/http.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t first_size = 2048, kept_size = 16 * 1024;
+constexpr std::size_t first_size = 2048, kept_size = 16 * 1024, believed = 64 * 1024;
 
 char lower(char c) { return c >= 'A' && c <= 'Z' ? char(c - 'A' + 'a') : c; }
 
@@ -117,11 +117,12 @@
 
 std::pair<char*, std::size_t> Message::room() {
   if (buffer_.size() - end_ < first_size / 2) {
-    // A body whose length was told needs no more than that: doubling would keep half of each buffer empty.
+    // A body whose length was told needs no more than that: doubling would keep half of each buffer empty. But a
+    // long one is believed only as far as it has come.
     const bool told = head_done_ && parser_.content_length <= limits_.body;
-    const std::size_t wanted =
+    const std::size_t whole =
         told ? end_ + std::size_t(parser_.content_length) + first_size / 2 : 2 * buffer_.size();
-    buffer_.resize(std::max(first_size, wanted));
+    buffer_.resize(std::max(first_size, std::min(whole, std::max(believed, 2 * buffer_.size()))));
   }
   return {buffer_.data() + end_, buffer_.size() - end_};
 }
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -22,7 +22,7 @@
       : boot_(std::move(b)),
         sockets_(boot_.most_sockets),
         desk_(io_, clock_, counters_, boot_.house.terms, boot_.seed),
-        servers_(io_, clock_, sockets_, counters_, boot_.house),
+        servers_(io_, clock_, sockets_, counters_, boot_.house, boot_.most_answer),
         list_(io_, sockets_, counters_, desk_, servers_, boot_.discovery),
         clients_(io_, clock_, sockets_, counters_, desk_, servers_, boot_.house),
         ends_(io_, SIGTERM, SIGINT),
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -40,8 +40,13 @@
 }
 
 Servers::Servers(asio::io_context& io, const Clock& clock, Sockets& sockets, Counters& counters,
-                 const read::House& house)
-    : io_(io), clock_(clock), sockets_(sockets), counters_(counters), house_(house) {
+                 const read::House& house, std::size_t most_answer)
+    : io_(io),
+      clock_(clock),
+      sockets_(sockets),
+      counters_(counters),
+      house_(house),
+      most_answer_(most_answer) {
   keep_for_ = house.keep_idle / 2;
   sockets_.evict_by([this] { return evict(); });
 }
@@ -132,7 +137,8 @@
       co_return;
     }
     ++counters_.dials;
-    call.connection = std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE);
+    call.connection = std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE,
+                                                   Limits{16 * 1024, most_answer_});
     call.connection->limit(clock_.at(std::min(expiry, clock_.now() + house_.dial_limit)));
     if (co_await call.connection->connect(at)) {
       ++counters_.dials_failed;
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -47,7 +47,7 @@
 class Servers {
  public:
   Servers(asio::io_context& io, const Clock& clock, Sockets& sockets, Counters& counters,
-          const read::House& house);
+          const read::House& house, std::size_t most_answer = 1024 * 1024);
 
   // An address or a start that is new makes what is kept to the old one worthless.
   void told(const std::string& uid, tcp::endpoint at, micros started, bool gone);
@@ -76,6 +76,7 @@
   Counters& counters_;
   const read::House& house_;
   micros keep_for_;
+  std::size_t most_answer_;  // bytes of a body
   std::unordered_map<std::string, Peer> peers_;
 };
 
