Turned away, a server rests for a moment, not until a trial; idle clients stay where there is room

Probe, the node's beliefs each second: both large servers left out with 2 to 6 failures in a row at 0 to 4 txns in work (their reports), the small ones at three times their latency. The failures: 158 postings turned away (503, Not-Started) after 133 ms, a limit on their pace. At fault: choice.cpp, posting_ended: refusals were failures.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -20,6 +20,7 @@
 constexpr int bins_per_sla = 25;       // h: the shortest SLA time in this many bins
 constexpr int pooled_samples = 10;     // a new server's window starts with so many
 constexpr int failures_seen = 2;       // in a row: rebuild without a test
+constexpr int turned_away = -1;        // no scheme: refused whatever its scheme
 constexpr double repeats_share = 0.1;  // further postings, of the txns taken
 constexpr double cores_guess = 2;      // calls a server works on side by side, where nothing tells
 constexpr double room_factor = 1.6;    // room beyond the calm load by a txn's value, over all tiers
@@ -78,6 +79,7 @@
 void Balancer::start_anew(Server& server) {
   server.failures = 0;
   server.wait_factor = 1;
+  server.faults.clear();
   server.window.bins.clear();
   server.window.count.fill(0);
   const int total = std::accumulate(pooled.begin(), pooled.begin() + bins - 1, 0);  // overruns left out
@@ -146,8 +148,7 @@
   if (trial && good && latency <= 3 * usual) start_anew(s);
   if (trial) s.wait_factor = good ? 1 : std::min(8, 2 * s.wait_factor);
   s.window.take(good ? bin_of(latency) : bins - 1, window_length);
-  // Fifty calls hide a few failures from the Kolmogorov-Smirnov test: a run of them rebuilds untested, as
-  // trials do.
+  // Fifty calls hide a few failures from the test: a run of them rebuilds untested, as trials do.
   if (trial || s.failures >= failures_seen || s.window.change() > ks_scale) build();
 }
 
@@ -248,17 +249,18 @@
   todo_.sends.push_back({id, s.line.server});
 }
 
-// Unchosen for tp calls; where any server's turn comes later than that, for four of its turns: else most of
-// what hundreds of nodes send would be trials, and a dead server would get as much as a good one.
+// Unchosen for tp calls, or for four of its turns where these come later: else hundreds of nodes send trials.
 bool Balancer::unchosen(const Server& s, double circle_size) const {
   return calls - s.chosen_at >=
          s.wait_factor * std::max(trial_after, fair_shares * circle_size / s.line.size);
 }
 
-// An error leaves a server to txns of other schemes for a while, for longer with each in a row.
+// An error leaves a server to other schemes for a while, being turned away to none: longer with each in a row.
 bool Balancer::fails(const Server& s, int scheme) const {
   const auto f = s.faults.find(scheme);
-  return f != s.faults.end() && now - f->second.at < second << std::min(4, f->second.in_a_row);
+  const micros base = scheme == turned_away ? second / 5 : second;
+  if (f != s.faults.end() && now - f->second.at < base << std::min(4, f->second.in_a_row)) return true;
+  return scheme != turned_away && fails(s, turned_away);
 }
 
 // Time left to the SLA time, while it can be met; an answer after it earns nothing.
@@ -266,13 +268,11 @@
   return (txn.sla > now ? std::min(txn.sla, txn.expiry) : txn.expiry) - now;
 }
 
-// What a server can do against others: its size, where that is told, else what its kind's latencies show;
-// either way corrected by its own.
+// What a server can do against others: its size, or what its kind's latencies show, corrected by its own.
 double Balancer::capacity(const Server& s) const {
   return s.line.size * cold_share(s) / (s.pace.slow() * (terms.sizes_told || !s.kind ? 1 : s.kind->slow()));
 }
 
-// All nodes that know the same servers draw the same rings.
 void Balancer::draw_rings() {
   rings_ = {};
   fleet_size = 0;
@@ -287,8 +287,8 @@
 }
 
 // The servers this node keeps to, so that it meets each every circle_time or so and its windows say
-// something: an arc, as long as its pace is good for, of a ring that is the same at all nodes, from a place of
-// its own. Each counts for what of its size lies on the arc, those left to trials or cold for what they can
+// something: an arc, as long as its pace is good for, of a ring that is the same at all nodes, from its own
+// place. Each counts for what of its size lies on the arc, those left to trials or cold for what they can
 // do. Where crossings are priced the servers at home have a ring of their own.
 Circle Balancer::circle() const {
   Circle found;
@@ -533,9 +533,8 @@
 
 Decisions Balancer::list_told(micros at, const std::vector<Line>& lines, bool whole, bool asked) {
   now = at;
-  if (asked && asked_) {
+  if (asked && std::exchange(asked_, false)) {
     watching_ = true;
-    asked_ = false;
     ask_wait_ = 0;
   }
   if (whole)
@@ -586,8 +585,7 @@
   const scheme_row& row = terms.schemes[std::size_t(scheme)];
   t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
   // Clients wait a part of the expiry for a first try, the same for all, and what is left of it for the last:
-  // the wait of most tries is the first's (taken for repeats, first tries were declined unseen); another
-  // tells a repeat, whose SLA time ran from the first.
+  // the wait of most tries is the first's; another tells a repeat, whose SLA time ran from the first.
   Seen& seen = seen_[std::size_t(scheme)];
   const bool usual = std::abs(left - seen.first_wait) <= left / 50;
   seen.votes = std::min(50, seen.votes + (usual ? 1 : -1));
@@ -637,9 +635,11 @@
   if (how != ending::moot && (how != ending::withdrawn || lag > 4 * typical())) {
     // A probe is answered by a server that fails its txns, too: such a one gets its trials from txns.
     s.erring = how == ending::error;
-    if (s.erring) s.faults[t.scheme] = {s.faults[t.scheme].in_a_row + 1, now};
-    if (how == ending::settled) s.faults.erase(t.scheme);
-    sample(s, how == ending::settled, lag, p.trial);
+    const int fault = how == ending::refused ? turned_away : t.scheme;
+    if (Fault& f = s.faults[fault]; (s.erring || fault == turned_away) && !fails(s, fault))
+      f = {f.in_a_row + 1, now};
+    if (how == ending::settled) s.faults.erase(t.scheme), s.faults.erase(turned_away);
+    if (how != ending::refused) sample(s, how == ending::settled, lag, p.trial);
   }
   if (final && !t.answered) close(id, t);
   return run();
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -16,7 +16,8 @@
 using namespace std::chrono_literals;
 // A first txn must be whole so soon after its client has connected, whatever trickles in; later ones after
 // their first byte.
-constexpr steady::duration message_limit = 2500ms, idle_limit = 3s, write_limit = 5s;
+constexpr steady::duration message_limit = 2500ms, idle_limit = 60s, crowded_idle_limit = 3s,
+                           write_limit = 5s;
 constexpr steady::duration slow_sender = 300ms, fresh = 250ms, newcomer = 50ms, linger = 20ms;
 constexpr auto bind_limit = 5s;
 constexpr auto last_words = 500ms;
@@ -265,7 +266,9 @@
   asio::error_code error;
   if (got == reading::unfinished && !c->in.begun()) {
     if (s->what != doing::arriving) now_doing(s, doing::nothing);
-    c->limit(std::min(until, steady::now() + idle_limit));
+    // A kept connection is a way in when no new one is dealt to any node; but many are for those that ask again.
+    const bool many = int(seats_.size()) > sockets_.most() / 4;
+    c->limit(std::min(until, steady::now() + (many ? crowded_idle_limit : idle_limit)));
     co_await c->socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return false;
   }
