A silent watch is made anew when a listed server takes no connection

Its watch was out and silent, no failure: it would have ended after its 20 s and 1.5 s. At fault: list.cpp, watch: nothing but that limit tells a watch that has lost its peer. Ruled out: load (reports of 0 waiting), the module.

--- a/src/node/counters.cpp
+++ b/src/node/counters.cpp
@@ -35,6 +35,7 @@
   put("list_calls", list_calls);
   put("list_failures", list_failures);
   put("list_news", list_news);
+  put("list_doubts", list_doubts);
   put("exceptions", exceptions);
   return out;
 }
--- a/src/node/counters.h
+++ b/src/node/counters.h
@@ -16,7 +16,7 @@
   count bad_requests = 0, health_calls = 0;
   std::array<count, 8> postings{};  // by ending
   count dials = 0, dials_failed = 0, reuses = 0, idle_closed = 0, idle_evicted = 0, no_room = 0;
-  count list_calls = 0, list_failures = 0, list_news = 0;
+  count list_calls = 0, list_failures = 0, list_news = 0, list_doubts = 0;
   count exceptions = 0;
 
   // One `name value` a line.
--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -53,8 +53,15 @@
 }
 
 List::List(asio::io_context& io, Sockets& sockets, Counters& counters, Desk& desk, Servers& servers,
-           tcp::endpoint at)
-    : io_(io), sockets_(sockets), counters_(counters), desk_(desk), servers_(servers), at_(at) {}
+           tcp::endpoint at, steady::duration doubt_after, steady::duration doubt_every)
+    : io_(io),
+      sockets_(sockets),
+      counters_(counters),
+      desk_(desk),
+      servers_(servers),
+      at_(at),
+      doubt_after_(doubt_after),
+      doubt_every_(doubt_every) {}
 
 void List::told(const News& news, bool asked) {
   std::vector<Line> lines;
@@ -72,7 +79,7 @@
 awaitable<void> List::follow() {
   for (;;) {
     co_await desk_.list_wanted();
-    moved_ = false;
+    dropped_ = false;
     try {
       co_await watch_on();
     } catch (const std::exception& failure) {
@@ -80,7 +87,7 @@
       log::error("discovery: {}", failure.what());
     }
     connection_.reset();
-    if (moved_) continue;  // dropped by us: no failure that the module should wait after
+    if (dropped_) continue;  // no failure that the module should wait after
     ++counters_.list_failures;
     desk_.list_failed();
   }
@@ -92,7 +99,20 @@
   if (to == at_) return;
   at_ = to;
   version_ = 0;
-  moved_ = true;
+  drop();
+}
+
+// The watch of a service that has vanished, or whose answer was lost, looks like one with nothing to tell.
+void List::doubt() {
+  const auto now = steady::now();
+  if (!connection_ || now - asked_at_ < doubt_after_ || now - doubted_at_ < doubt_every_) return;
+  doubted_at_ = now;
+  ++counters_.list_doubts;
+  drop();
+}
+
+void List::drop() {
+  dropped_ = true;
   if (connection_) connection_->close();
   desk_.want_list();
 }
@@ -109,6 +129,7 @@
 
 awaitable<std::optional<News>> List::watch() {
   ++counters_.list_calls;
+  asked_at_ = steady::now();
   if (!connection_ || !connection_->quiet()) {
     connection_.reset();
     sockets_.make_room();
--- a/src/node/list.h
+++ b/src/node/list.h
@@ -31,15 +31,20 @@
 class List {
  public:
   List(asio::io_context& io, Sockets& sockets, Counters& counters, Desk& desk, Servers& servers,
-       tcp::endpoint at);
+       tcp::endpoint at, steady::duration doubt_after = std::chrono::seconds(2),
+       steady::duration doubt_every = std::chrono::seconds(10));
   void told(const News& news, bool asked);
   awaitable<void> follow();  // runs as long as the node
   // From now on the list is told elsewhere: it is asked there at once, from the start.
   void move(tcp::endpoint to);
+  // A server that is listed takes no connection: a call that has been silent for a while is made anew, not more
+  // often than now and then.
+  void doubt();
 
  private:
   awaitable<std::optional<News>> watch();
   awaitable<void> watch_on();
+  void drop();
 
   asio::io_context& io_;
   Sockets& sockets_;
@@ -49,7 +54,9 @@
   tcp::endpoint at_;
   std::shared_ptr<Connection> connection_;
   long long version_ = 0;
-  bool moved_ = false;  // while a call was out
+  bool dropped_ = false;  // the call that was out, by us
+  steady::duration doubt_after_, doubt_every_;
+  steady::time_point asked_at_{}, doubted_at_{};
 };
 
 }  // namespace robinpin::node
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -23,7 +23,8 @@
         sockets_(boot_.most_sockets),
         desk_(io_, clock_, counters_, boot_.house.terms, boot_.seed),
         servers_(io_, clock_, sockets_, counters_, boot_.house, boot_.most_answer),
-        list_(io_, sockets_, counters_, desk_, servers_, boot_.discovery),
+        list_(io_, sockets_, counters_, desk_, servers_, boot_.discovery, std::chrono::seconds(2),
+              std::chrono::microseconds(boot_.house.terms.ask_every)),
         clients_(io_, clock_, sockets_, counters_, desk_, servers_, boot_.house),
         ends_(io_, SIGTERM, SIGINT),
         asks_(io_, SIGUSR1),
@@ -31,6 +32,7 @@
 
   void run() {
     list_.told(boot_.known, false);
+    servers_.when_unreachable([this] { list_.doubt(); });
     clients_.listen(boot_.listen);
     spawn([this] { return desk_.tick(); });
     spawn([this] { return servers_.sweep(); });
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -144,6 +144,7 @@
     call.connection->limit(clock_.at(std::min(expiry, clock_.now() + house_.dial_limit)));
     if (co_await call.connection->connect(at)) {
       ++counters_.dials_failed;
+      if (unreachable_ && !call.withdrawn) unreachable_();
       co_return;
     }
   }
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -57,6 +58,7 @@
   awaitable<void> post(std::shared_ptr<Call> call, std::string uid, std::shared_ptr<const Outbound> outbound,
                        micros expiry);
   awaitable<void> sweep();  // runs as long as the node
+  void when_unreachable(std::function<void()> then) { unreachable_ = std::move(then); }
   bool any() const { return !peers_.empty(); }
 
  private:
@@ -81,6 +83,7 @@
   micros keep_for_;
   std::size_t most_answer_;  // bytes of a body
   std::unordered_map<std::string, Peer> peers_;
+  std::function<void()> unreachable_;
 };
 
 // The outcome of a posting that got no answer.
--- a/tests/boot_test.cpp
+++ b/tests/boot_test.cpp
@@ -134,3 +134,23 @@
   CHECK(p.servers.any());
   CHECK(p.counters.list_failures == 0);
 }
+
+// A watch whose answer was lost looks like one with nothing to tell.
+TEST_CASE("a silent watch is made anew when a listed server takes no connection, once in a while") {
+  Parts p;
+  StandIn discovery(p.io, "");
+  List list(p.io, p.sockets, p.counters, p.desk, p.servers, discovery.at(), 10ms, 10s);
+  p.servers.when_unreachable([&] { list.doubt(); });
+  asio::co_spawn(p.io, list.follow(), asio::detached);
+  p.knows("a", endpoint_of("127.0.0.1:1"));
+  p.desk.want_list();
+  p.io.run_for(20ms);
+  REQUIRE(discovery.got.size() == 1);
+  p.post("a");
+  p.io.run_for(20ms);
+  CHECK(discovery.connections == 2);
+  p.post("a");
+  p.io.run_for(20ms);
+  CHECK(discovery.connections == 2);
+  CHECK(p.counters.list_failures == 0);
+}
