A fault is entered only when there is one, not looked up and erased with every answer

From reading the change again: posting_ended took a reference into the faults of the server before asking whether there was one, so that each settled posting entered an empty fault and erased it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -636,8 +636,8 @@
     // A probe is answered by a server that fails its txns, too: such a one gets its trials from txns.
     s.erring = how == ending::error;
     const int fault = how == ending::refused ? turned_away : t.scheme;
-    if (Fault& f = s.faults[fault]; (s.erring || fault == turned_away) && !fails(s, fault))
-      f = {f.in_a_row + 1, now};
+    if ((s.erring || fault == turned_away) && !fails(s, fault))
+      s.faults[fault] = {s.faults[fault].in_a_row + 1, now};
     if (how == ending::settled) s.faults.erase(t.scheme), s.faults.erase(turned_away);
     if (how != ending::refused) sample(s, how == ending::settled, lag, p.trial);
   }
