--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <random>
 #include <set>
 #include <string>
@@ -62,6 +63,37 @@
   double price_late = 0;
 };
 
+// A sum that fades with time, brought up to date when it is read.
+struct Fading {
+  double sum = 0;
+  micros at = 0;
+  double read(micros now, micros life) const {
+    return sum == 0 ? 0 : sum * std::exp(-double(now - at) / double(life));
+  }
+  void add(micros now, micros life, double x) {
+    sum = read(now, life) + x;
+    at = now;
+  }
+};
+
+struct Spent {  // by a route's txns of late
+  Fading taken, further;
+};
+
+// What a route allows its txns. It narrows the house's terms and never widens them: the stricter holds.
+struct Allowed {
+  repeats kind = repeats::repeatable;
+  group within = group::all;
+  int postings = 1 << 30;
+  micros wait = 0;  // of one posting for its answer; 0: until the client gives up
+  bool two_at_once = true;
+  micros copy_after = 0;         // of silence, before a second copy; 0: by what answers take
+  double further = -1;           // postings beyond the first, as a share of the route's txns; below 0: any
+  std::shared_ptr<Spent> spent;  // what `further` counts
+  bool full = false;             // the route takes nothing now: declined at once
+  micros come_back = 0;          // for clients that are declined; 0: by what answers take
+};
+
 enum class standing { serving, draining, gone };
 
 struct Line {
@@ -83,19 +115,6 @@
   micros service = -1;
 };
 
-// A sum that fades with time, brought up to date when it is read.
-struct Fading {
-  double sum = 0;
-  micros at = 0;
-  double read(micros now, micros life) const {
-    return sum == 0 ? 0 : sum * std::exp(-double(now - at) / double(life));
-  }
-  void add(micros now, micros life, double x) {
-    sum = read(now, life) + x;
-    at = now;
-  }
-};
-
 // A mean over what has not faded yet; both sums fade alike, so that it stands still between samples.
 struct Mean {
   Fading sum, count;
@@ -207,6 +226,7 @@
   bool in_share = true;
   bool streaming = false;  // its answer has begun: the client's, without expiry
   bool answered = false;
+  Allowed allowed;
   std::vector<Posting> postings;
   auto out() const {
     return std::count_if(postings.begin(), postings.end(), [](const Posting& p) { return !p.ended; });
@@ -221,7 +241,8 @@
 
 struct Decisions {
   struct Send {
-    std::string txn, server;  // it waits until the client gives up
+    std::string txn, server;
+    micros wait = 0;  // for its answer; 0: until the client gives up
   };
   struct Final {
     std::string txn;
@@ -246,7 +267,8 @@
 
   Decisions list_told(micros now, const std::vector<Line>& lines, bool whole, bool asked = true);
   Decisions list_failed(micros now);
-  Decisions txn_taken(micros now, const std::string& id, int scheme, int tenant, micros left, double cost);
+  Decisions txn_taken(micros now, const std::string& id, int scheme, int tenant, micros left, double cost,
+                      Allowed by_route = {});
   Decisions posting_ended(micros now, const std::string& id, int n, ending how, micros lag, bool final,
                           const Report* report);
   Decisions stream_begun(micros now, const std::string& id, int n);
@@ -277,6 +299,10 @@
   // The gates, and what the rules are made of.
   bool may_post(const Txn& txn, const Server& server) const;
   bool may_decline(const Txn& txn) const;
+  repeats kind(const Txn& txn) const;
+  int most_postings(const Txn& txn) const;
+  bool spares_another(const Txn& txn) const;
+  micros long_silence(const Txn& txn) const;
   int bin_of(micros latency) const;
   void build();
   double likely(const Server& server, micros left) const;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -195,34 +195,55 @@
 // Every posting passes here, whatever rule asks for it.
 bool Balancer::may_post(const Txn& txn, const Server& s) const {
   if (txn.answered || txn.streaming || now >= txn.expiry) return false;  // rule 1
-  if (int(txn.postings.size()) >= terms.most_postings) return false;
+  if (int(txn.postings.size()) >= most_postings(txn) || !spares_another(txn)) return false;
   if (!s.serving()) return false;                            // rule 3, without using the grace
   if (cold_share(s) < 1 && s.cold_credit < 1) return false;  // rule 4
-  if (txn.out() > 0 && !terms.two_at_once) return false;     // rule 2, from here on
+  if (txn.out() > 0 && !(terms.two_at_once && txn.allowed.two_at_once)) return false;  // rule 2, from here on
   const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
-  if (row.kind == repeats::repeatable) return true;
+  const group within = std::max(row.within, txn.allowed.within);
+  if (kind(txn) == repeats::repeatable) return true;
   for (const Posting& p : txn.postings) {
     if (p.never_ran) continue;
-    if (row.kind == repeats::once_only) return false;
+    if (kind(txn) == repeats::once_only) return false;
     if (now - p.sent >= row.memory - 10 * pace) return false;
-    if (row.within == group::zone && p.server->line.zone != s.line.zone) return false;
-    if (row.within == group::cell && p.server->line.cell != s.line.cell) return false;
+    if (within == group::zone && p.server->line.zone != s.line.zone) return false;
+    if (within == group::cell && p.server->line.cell != s.line.cell) return false;
   }
   return true;
 }
 
 bool Balancer::may_decline(const Txn& txn) const {
   const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
-  return row.kind == repeats::repeatable || (row.kind == repeats::referenced && row.within == group::all) ||
-         txn.never_ran();
+  const bool harmless = kind(txn) == repeats::referenced && row.within == group::all;
+  return kind(txn) == repeats::repeatable || harmless || txn.never_ran();
+}
+
+// A route may hold its txns for stricter than their scheme is, and allow them fewer further postings.
+repeats Balancer::kind(const Txn& txn) const {
+  return std::max(terms.schemes[std::size_t(txn.scheme)].kind, txn.allowed.kind);
+}
+
+int Balancer::most_postings(const Txn& txn) const {
+  return std::min(terms.most_postings, txn.allowed.postings);
+}
+
+bool Balancer::spares_another(const Txn& txn) const {
+  const Allowed& a = txn.allowed;
+  if (txn.postings.empty() || a.further < 0 || !a.spent) return true;
+  return a.further > 0 && a.spent->further.read(now, memory) <= a.further * a.spent->taken.read(now, memory);
+}
+
+micros Balancer::long_silence(const Txn& txn) const {
+  return txn.allowed.copy_after > 0 ? txn.allowed.copy_after : 4 * typical();
 }
 
 // Every final answer of ours passes here.
 void Balancer::answer(const std::string& id, Txn& txn) {
   if (txn.answered) return;
   const bool declined = may_decline(txn) && now < txn.expiry;
+  const micros advice = txn.allowed.come_back > 0 ? txn.allowed.come_back : 2 * typical();
   todo_.finals.push_back(
-      {id, declined, declined && terms.advice_heeded ? std::min(terms.longest_advice, 2 * typical()) : 0});
+      {id, declined, declined && terms.advice_heeded ? std::min(terms.longest_advice, advice) : 0});
   close(id, txn);
 }
 
@@ -243,10 +264,13 @@
   s.chosen_at = ++calls;
   s.on_trial = s.on_trial || trial;
   sent.add(now, memory, txn.cost);
-  if (!txn.postings.empty()) repeats_sent.add(now, memory, 1);
+  if (!txn.postings.empty()) {
+    repeats_sent.add(now, memory, 1);
+    if (txn.allowed.spent) txn.allowed.spent->further.add(now, memory, 1);
+  }
   txn.postings.push_back({&s, now, int(s.out.size()), trial, false, false});
   s.out.push_back(now);
-  todo_.sends.push_back({id, s.line.server});
+  todo_.sends.push_back({id, s.line.server, txn.allowed.wait});
 }
 
 // Unchosen for tp calls, or for four of its turns where these come later: else hundreds of nodes send trials.
@@ -255,7 +279,7 @@
          s.wait_factor * std::max(trial_after, fair_shares * circle_size / s.line.size);
 }
 
-// An error leaves a server to other schemes for a while, being turned away to none: longer with each in a row.
+// An error leaves a server to other schemes for a while, being turned away to none; longer, if in a row.
 bool Balancer::fails(const Server& s, int scheme) const {
   const auto f = s.faults.find(scheme);
   const micros base = scheme == turned_away ? second / 5 : second;
@@ -327,8 +351,7 @@
   bool all_fail = true;
   double in_flight = 0;
   const double worth = value(txn);
-  const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
-  const bool may_try = txn.postings.empty() && row.kind != repeats::once_only;
+  const bool may_try = txn.postings.empty() && kind(txn) != repeats::once_only;
   const Circle near = circle();
   for (const auto& [s, part, none] : near.servers) {
     in_flight += double(s->out.size());
@@ -469,9 +492,8 @@
     if (t.answered || t.streaming) continue;
     const bool late_out = call_off && earns_no_more(t) && may_decline(t);
     if (now < t.expiry && !t.held() && !late_out) continue;
-    const scheme_row& row = terms.schemes[std::size_t(t.scheme)];
-    const bool spent = int(t.postings.size()) >= terms.most_postings;
-    const bool stuck = row.kind == repeats::once_only && !t.never_ran();
+    const bool spent = int(t.postings.size()) >= most_postings(t) || !spares_another(t) || t.allowed.full;
+    const bool stuck = kind(t) == repeats::once_only && !t.never_ran();
     const bool waited = terms.tier == 0 && now - t.taken > 2 * patience(t) && t.postings.empty();
     const bool late = t.expiry - now <= 2 * pace || earns_no_more(t);
     if (!spent && !stuck && !waited && !late) continue;
@@ -487,8 +509,8 @@
   bool fired = false;
   for (auto& [id, t] : txns) {
     if (!terms.two_at_once || t.answered || t.streaming || t.out() != 1 || t.postings.size() != 1) continue;
-    if (terms.schemes[std::size_t(t.scheme)].kind == repeats::once_only) continue;
-    if (now - t.postings[0].sent < 4 * typical() || now >= t.sla) continue;
+    if (kind(t) == repeats::once_only || !t.allowed.two_at_once) continue;
+    if (now - t.postings[0].sent < long_silence(t) || now >= t.sla) continue;
     if (repeats_sent.read(now, memory) > repeats_share * arrivals.read(now, memory)) continue;
     bool trial = false;
     Server* s = choose(t, time_left(t), trial);
@@ -522,8 +544,10 @@
     at = std::min(at, t.expiry);
     if (t.out() == 0) at = std::min(at, now + pace);
     if (t.sla > now) at = std::min(at, t.sla);
-    if (terms.two_at_once && t.postings.size() == 1 && now < t.sla)
-      at = std::min(at, std::max(now + 5 * pace, t.postings[0].sent + 4 * typical()));
+    if (terms.two_at_once && t.postings.size() == 1 && now < t.sla) {
+      const micros due = t.postings[0].sent + long_silence(t);
+      at = std::min(at, t.allowed.copy_after > 0 && due > now ? due : std::max(now + 5 * pace, due));
+    }
   }
   if (at == never || (wake_at_ > now && wake_at_ <= at)) return false;
   wake_at_ = at;
@@ -575,9 +599,11 @@
 }
 
 Decisions Balancer::txn_taken(micros at, const std::string& id, int scheme, int tenant, micros left,
-                              double cost) {
+                              double cost, Allowed by_route) {
   now = at;
   Txn t;
+  t.allowed = std::move(by_route);
+  if (t.allowed.spent) t.allowed.spent->taken.add(now, memory, 1);
   t.scheme = scheme;
   t.taken = now;
   t.luck = part_of_one();
--- /dev/null
+++ b/src/config/file.h
@@ -0,0 +1,120 @@
+// Our file: what it says, with the place of each word, and every fault in it. Reading and checking are functions of the
+// text and the house's terms; only load() touches the disk. Source: docs/configuration.md.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "../limits/limits.h"
+#include "../read/house.h"
+
+namespace robinpin::config {
+
+struct At {  // from 1; 0: not said in the file
+  int line = 0, column = 0;
+  bool said() const { return line > 0; }
+};
+
+template <typename T>
+struct Told {
+  T value{};
+  At at;
+  bool said() const { return at.said(); }
+};
+
+struct Fault {
+  At at;
+  std::string key, what;
+};
+
+// The limits of a route, or those of [defaults] for routes that do not say theirs.
+struct Limits {
+  Told<micros> posting_timeout, second_copy_after, come_back;
+  Told<int> postings, in_flight;
+  Told<bool> second_copies;
+  Told<double> further_share, rate, burst;
+  Told<repeats> may_repeat;
+  Told<group> within;
+};
+
+struct Route {
+  At at;
+  Told<std::string> name, scheme, method, path, tenant;
+  Limits limits;
+};
+
+struct Node {
+  Told<std::string> terms;  // where EDGE_CONFIG is not set; as seen from the file's folder
+  Told<int> sockets;
+  Told<std::size_t> longest_answer;  // bytes
+};
+
+struct Log {
+  Told<std::string> format{"text", {}}, level{"info", {}};
+  Told<micros> fold{10'000'000, {}};
+  std::vector<std::pair<std::string, Told<std::string>>> parts;  // levels of their own
+};
+
+struct Records {
+  Told<std::string> path;  // none: no records
+  Told<std::size_t> rotate_at{64UL << 20, {}};
+  Told<int> keep{8, {}}, queue{65536, {}};
+  Told<micros> flush{200'000, {}};
+};
+
+struct Clients {  // as those who come to this node are known to be
+  Told<micros> patience, wait;  // for all tries together; between one try's end and the next
+  Told<int> retries;
+};
+
+struct File {
+  std::string path, hash;  // of its bytes, 16 hexadecimal digits
+  Node node;
+  Log log;
+  Records records;
+  Clients clients;
+  Limits defaults;
+  std::vector<Route> routes;
+};
+
+struct Reading {
+  File file;
+  std::vector<Fault> faults;  // none: it can be used
+  std::vector<Fault> notes;   // what is cut by something stricter, or never acts
+  bool good() const { return faults.empty(); }
+};
+
+// All that can be known without the house's terms.
+Reading read(const std::string& path, std::string_view text);
+// What stands against the four rules and the house's terms.
+void check(Reading& reading, const read::House& house);
+
+// Reads the file from disk; once more while it is still being written. An unreadable file is a fault.
+Reading load(const std::string& path, const read::House* house);
+
+// The routes in their order, that of [defaults] last. The file is one without faults.
+std::vector<limits::Route> routes(const File& file, const read::House& house);
+
+// "file:line:column: key: what", a line each.
+std::string text(const std::string& path, const std::vector<Fault>& faults);
+std::string json(const Reading& reading);
+// Which route a txn meets, each limit in force and what set it. Names are the file's and the house's.
+struct Question {
+  std::string scheme, tenant, method, path;
+};
+std::string explain(const File& file, const read::House& house, const Question& txn);
+
+// What the other files of this package share.
+std::string duration(micros time);             // "250ms"
+std::optional<micros> duration(std::string_view text);
+Limits effective(const File& file, const Route& route);
+limits::Route compiled(const File& file, const Route& route, const read::House& house);
+std::string name_of(const Route& route, std::size_t number);
+const char* word(repeats kind);
+const char* word(group within);
+
+}  // namespace robinpin::config
--- a/src/node/boot.cpp
+++ b/src/node/boot.cpp
@@ -25,6 +25,12 @@
   return std::uint32_t(n ^ (n >> 32));
 }
 
+}  // namespace
+
+int sockets_for_peers(int most) { return std::max(least_sockets, most - kept_back); }
+
+namespace {
+
 int sockets_of(const read::value& config) {
   int most = usual_sockets;
   if (const auto* limits = read::find(config, "limits"))
@@ -68,14 +74,39 @@
   above(double(h.keep_idle), "Keepalive");
 }
 
-}  // namespace
-
-Boot boot_from(const std::string& text, const environment& variable) {
+rapidjson::Document parsed(const std::string& text) {
   rapidjson::Document config;
   config.Parse<rapidjson::kParseFullPrecisionFlag | rapidjson::kParseIterativeFlag>(text.data(), text.size());
   if (config.HasParseError())
     read::wrong(std::string("EDGE_CONFIG is not JSON: ") + GetParseError_En(config.GetParseError()));
   if (!config.IsObject()) read::wrong("EDGE_CONFIG is not an object");
+  return config;
+}
+
+read::House house_in(const read::value& config) {
+  const read::value& settings = read::object(read::need(config, "settings"), "settings");
+  return read::inside("settings", [&] {
+    read::House h = read::house(settings);
+    check(h);
+    // On sockets the list is told only to who asks, and a probe has no form: trials are txns.
+    h.terms.ask_list = true;
+    h.terms.may_probe = false;
+    return h;
+  });
+}
+
+}  // namespace
+
+read::House house_of(const std::string& text) { return house_in(parsed(text)); }
+
+std::string bytes_of(const std::string& path, const std::string& what) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) read::wrong(what + ": can't read " + path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+Boot boot_from(const std::string& text, const environment& variable) {
+  const rapidjson::Document config = parsed(text);
   // The environment has the last word over the file.
   const auto told = [&](const char* edge, const char* key) {
     const char* v = variable(edge);
@@ -94,26 +125,23 @@
   b.most_answer = answer_of(config);
   if (const auto* known = read::find(config, "known"))
     b.known = read::inside("known", [&] { return news_of(*known); });
-  const read::value& settings = read::object(read::need(config, "settings"), "settings");
-  b.house = read::inside("settings", [&] { return read::house(settings); });
-  read::inside("settings", [&] { check(b.house); });
-  // On sockets the list is told only to who asks, and a probe has no form: trials are txns.
-  b.house.terms.ask_list = true;
-  b.house.terms.may_probe = false;
+  b.house = house_in(config);
   return b;
 }
 
-Boot boot(const environment& variable) {
-  const char* path = variable("EDGE_CONFIG");
-  if (!path || !*path) read::wrong("EDGE_CONFIG is not set");
-  std::ifstream file(path, std::ios::binary);
-  if (!file) read::wrong(std::string("EDGE_CONFIG: can't read ") + path);
-  return boot_from({std::istreambuf_iterator<char>(file), {}}, variable);
+Boot boot(const environment& variable, const std::string& otherwise) {
+  const char* told = variable("EDGE_CONFIG");
+  const std::string path = told && *told ? told : otherwise;
+  if (path.empty()) read::wrong("EDGE_CONFIG is not set");
+  return boot_from(bytes_of(path, "EDGE_CONFIG"), variable);
 }
 
-Boot boot_again(const environment& variable) {
+Boot boot_again(const environment& variable, const std::string& otherwise) {
   return boot(
-      [&](const char* name) { return std::string_view(name) == "EDGE_DISCOVERY" ? nullptr : variable(name); });
+      [&](const char* name) {
+        return std::string_view(name) == "EDGE_DISCOVERY" ? nullptr : variable(name);
+      },
+      otherwise);
 }
 
 }  // namespace robinpin::node
--- a/src/node/boot.h
+++ b/src/node/boot.h
@@ -20,14 +20,22 @@
   read::House house;
 };
 
+// Of so many descriptors, those that may go to sockets of peers.
+int sockets_for_peers(int most);
+
 using environment = std::function<const char*(const char*)>;
 
+// The house's terms alone, of the same JSON: what a file of ours is checked against.
+read::House house_of(const std::string& text);
+// The bytes of a file. Throws std::runtime_error, naming what the file is for.
+std::string bytes_of(const std::string& path, const std::string& what);
+
 // `text` is the JSON of EDGE_CONFIG. Throws std::runtime_error with one line that names the faulty key.
 Boot boot_from(const std::string& text, const environment& variable);
-// Reads the file that EDGE_CONFIG names.
-Boot boot(const environment& variable);
+// Reads the file that EDGE_CONFIG names, or the other one where it is not set.
+Boot boot(const environment& variable, const std::string& otherwise = "");
 // Reads it again while the node runs. What the environment said of discovery was said at the start: now the
 // file's address holds.
-Boot boot_again(const environment& variable);
+Boot boot_again(const environment& variable, const std::string& otherwise = "");
 
 }  // namespace robinpin::node
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -7,7 +7,7 @@
 #include <stdexcept>
 #include <thread>
 
-#include "log.h"
+#include "../log/log.h"
 
 namespace robinpin::node {
 
@@ -121,7 +121,7 @@
 }
 
 Clients::Clients(asio::io_context& io, const Clock& clock, Sockets& sockets, Counters& counters, Desk& desk,
-                 Servers& servers, const read::House& house)
+                 Servers& servers, const read::House& house, const Routes& routes)
     : io_(io),
       clock_(clock),
       sockets_(sockets),
@@ -129,6 +129,7 @@
       desk_(desk),
       servers_(servers),
       house_(house),
+      routes_(routes),
       acceptor_(io) {
   sockets_.evict_by([this] { return evict(); });
 }
@@ -241,14 +242,14 @@
       first = false;
   } catch (const std::exception& failure) {
     ++counters_.exceptions;
-    log::error("client connection: {}", failure.what());
+    log::error(log::part::clients, "client connection: {}", failure.what());
     failed = s->what == doing::txn;
   }
   try {
     // What was taken gets an answer, whatever went wrong on our side.
     if (failed && c->open()) co_await answer(c, 500, "", "failed\n", false);
   } catch (const std::exception& failure) {
-    log::error("client connection: {}", failure.what());
+    log::error(log::part::clients, "client connection: {}", failure.what());
   }
   c->close();
   seats_.erase(s);
@@ -292,7 +293,8 @@
   }
   const std::string_view target = c->in.target();
   if (c->in.connects()) co_return co_await turn_down(c, s, 405, "no tunnels");
-  if (target.starts_with("/health/") || target == "/counters") co_return co_await own_page(c, s);
+  if (target.starts_with("/health/") || target == "/counters" || target == "/config")
+    co_return co_await own_page(c, s);
   co_return co_await txn(c, s);
 }
 
@@ -317,6 +319,8 @@
   constexpr std::string_view plain = "Content-Type: text/plain\r\n";
   if (c->in.method() != "GET") co_return co_await turn_down(c, s, 405, "only GET");
   if (target == "/counters") co_return co_await answer(c, 200, plain, counters_.text());
+  if (target == "/config")
+    co_return co_await answer(c, 200, "Content-Type: application/json\r\n", routes_.told());
   if (target == "/health/live") co_return co_await answer(c, 200, plain, "live\n");
   if (target != "/health/ready") co_return co_await turn_down(c, s, 404, "no such page");
   const bool ready = !draining_ && servers_.any();
@@ -327,9 +331,10 @@
   const Asked asked = asked_of(c->in, house_);
   if (asked.status != 0) co_return co_await turn_down(c, s, asked.status, asked.why);
   if (desk_.knows(asked.id)) co_return co_await turn_down(c, s, 409, "Request-Id is in use");
+  limits::Taken route = routes_.take({asked.scheme, asked.tenant, c->in.method(), c->in.target()}, clock_.now());
   c->in.let_go();
-  const Desk::visit v =
-      desk_.take(asked.id, asked.scheme, asked.tenant, clock_.of(c->arrived()), asked.left, asked.cost);
+  const Desk::visit v = desk_.take(asked.id, asked.scheme, asked.tenant, clock_.of(c->arrived()), asked.left,
+                                   asked.cost, std::move(route));
   watch(c, v);
   std::vector<std::shared_ptr<Call>> calls;
   Order order;
@@ -372,10 +377,11 @@
 awaitable<void> Clients::posting(Desk::visit v, std::shared_ptr<Call> call, Order order,
                                  std::shared_ptr<const Outbound> outbound) {
   try {
-    co_await servers_.post(call, order.server, std::move(outbound), v->expiry);
+    const micros until = order.wait > 0 ? std::min(v->expiry, clock_.now() + order.wait) : v->expiry;
+    co_await servers_.post(call, order.server, std::move(outbound), until);
   } catch (const std::exception& failure) {
     ++counters_.exceptions;
-    log::error("posting to {}: {}", order.server, failure.what());
+    log::error(log::part::clients, "posting to {}: {}", order.server, failure.what());
     call->answer.how = ending::reset;
     call->connection.reset();
   }
--- a/src/node/clients.h
+++ b/src/node/clients.h
@@ -9,6 +9,7 @@
 #include "connection.h"
 #include "counters.h"
 #include "desk.h"
+#include "routes.h"
 #include "servers.h"
 
 namespace robinpin::node {
@@ -28,7 +29,7 @@
 class Clients {
  public:
   Clients(asio::io_context& io, const Clock& clock, Sockets& sockets, Counters& counters, Desk& desk,
-          Servers& servers, const read::House& house);
+          Servers& servers, const read::House& house, const Routes& routes);
 
   void listen(tcp::endpoint at);  // throws if it can't
   tcp::endpoint at() const { return acceptor_.local_endpoint(); }
@@ -69,6 +70,7 @@
   Desk& desk_;
   Servers& servers_;
   const read::House& house_;
+  const Routes& routes_;
   tcp::acceptor acceptor_;
   std::list<Seat> seats_;  // the longest idle or reading first
   bool draining_ = false, closing_ = false;
--- a/src/node/counters.cpp
+++ b/src/node/counters.cpp
@@ -23,9 +23,8 @@
   put("answers_broken", answers_broken);
   put("bad_requests", bad_requests);
   put("health_calls", health_calls);
-  static constexpr std::array<std::string_view, 8> endings = {
-      "settled", "error", "refused", "timed_out", "unreachable", "reset", "withdrawn", "moot"};
-  for (std::size_t i = 0; i < endings.size(); ++i) put(fmt::format("postings_{}", endings[i]), postings[i]);
+  for (std::size_t i = 0; i < ending_names.size(); ++i)
+    put(fmt::format("postings_{}", ending_names[i]), postings[i]);
   put("dials", dials);
   put("dials_failed", dials_failed);
   put("connections_reused", reuses);
@@ -36,6 +35,11 @@
   put("list_failures", list_failures);
   put("list_news", list_news);
   put("list_doubts", list_doubts);
+  put("limited_in_flight", limited_in_flight);
+  put("limited_by_rate", limited_by_rate);
+  put("config_accepted", config_accepted);
+  put("config_refused", config_refused);
+  put("records_dropped", records_dropped);
   put("exceptions", exceptions);
   return out;
 }
--- a/src/node/counters.h
+++ b/src/node/counters.h
@@ -9,6 +9,9 @@
 
 namespace robinpin::node {
 
+constexpr std::array<const char*, 8> ending_names = {"settled",     "error", "refused",   "timed_out",
+                                                     "unreachable", "reset", "withdrawn", "moot"};
+
 struct Counters {
   using count = std::uint64_t;
   count clients_accepted = 0, clients_evicted = 0, accepts_failed = 0;
@@ -17,6 +20,7 @@
   std::array<count, 8> postings{};  // by ending
   count dials = 0, dials_failed = 0, reuses = 0, idle_closed = 0, idle_evicted = 0, no_room = 0;
   count list_calls = 0, list_failures = 0, list_news = 0, list_doubts = 0;
+  count limited_in_flight = 0, limited_by_rate = 0, config_accepted = 0, config_refused = 0, records_dropped = 0;
   count exceptions = 0;
 
   // One `name value` a line.
--- a/src/node/desk.cpp
+++ b/src/node/desk.cpp
@@ -6,12 +6,16 @@
 
 namespace {
 constexpr auto forever = steady::time_point::max();
+
+const char* word(ending how) { return ending_names[std::size_t(how)]; }
 }
 
-Desk::Desk(asio::io_context& io, const Clock& clock, Counters& counters, Terms terms, std::uint32_t seed)
+Desk::Desk(asio::io_context& io, const Clock& clock, Counters& counters, Terms terms, std::uint32_t seed,
+           records::Facts* facts)
     : io_(io),
       clock_(clock),
       counters_(counters),
+      facts_(facts ? *facts : none_),
       balancer_(std::move(terms), seed, clock.now()),
       wake_(io, forever),
       list_(io, forever) {}
@@ -20,11 +24,19 @@
 // whose SLA time ran from its first try, and a node that was held up for a few ms would decline what it had
 // to read late.
 Desk::visit Desk::take(const std::string& id, int scheme, int tenant, micros arrived, micros left,
-                       double cost) {
+                       double cost, limits::Taken route) {
   const visit v(new Visit(io_, id, arrived + left));
+  v->place_ = std::move(route.place);
   visits_[id] = v;
   ++counters_.txns_taken;
-  carry_out(balancer_.txn_taken(arrived, id, scheme, tenant, left, cost));
+  const std::string_view name = route.route ? std::string_view(route.route->name) : std::string_view();
+  facts_.taken(id, scheme, tenant, left, name);
+  if (route.why != limits::full::no) {
+    const bool pace = route.why == limits::full::rate;
+    ++(pace ? counters_.limited_by_rate : counters_.limited_in_flight);
+    facts_.limited(id, name, pace ? "rate" : "in_flight", route.allowed.come_back);
+  }
+  carry_out(balancer_.txn_taken(arrived, id, scheme, tenant, left, cost, std::move(route.allowed)));
   if (ends_ > 0) clip();
   return v;
 }
@@ -45,18 +57,20 @@
 
 void Desk::report(const visit& v, int posting, ending how, micros lag, const Report* report) {
   ++counters_.postings[std::size_t(how)];
+  facts_.posting_ended(v->id, posting, word(how), lag);
   --v->out_;
   const bool answers = how == ending::settled && !v->over_;
   carry_out(balancer_.posting_ended(clock_.now(), v->id, posting, how, lag, answers || v->over_, report));
-  if (answers) give(v->id, {Order::what::settled, posting, {}, 0});
+  if (answers) give(v->id, {Order::what::settled, posting, {}, 0, 0});
   if (v->over_ && v->out_ == 0) visits_.erase(v->id);
 }
 
 void Desk::leave(const visit& v) {
   if (v->over_) return;
   ++counters_.clients_left;
+  facts_.left(v->id);
   carry_out(balancer_.client_left(clock_.now(), v->id));
-  give(v->id, {Order::what::gone, 0, {}, 0});
+  give(v->id, {Order::what::gone, 0, {}, 0, 0});
 }
 
 void Desk::end_by(micros at) {
@@ -106,10 +120,10 @@
 
 // Withdrawals go first: the final answer is the last order that is picked.
 void Desk::carry_out(const Decisions& d) {
-  for (const auto& w : d.withdrawals) give(w.txn, {Order::what::withdraw, w.posting, {}, 0});
-  for (const auto& s : d.sends) give(s.txn, {Order::what::post, 0, s.server, 0});
+  for (const auto& w : d.withdrawals) give(w.txn, {Order::what::withdraw, w.posting, {}, 0, 0});
+  for (const auto& s : d.sends) give(s.txn, {Order::what::post, 0, s.server, s.wait, 0});
   for (const auto& f : d.finals)
-    give(f.txn, {f.declined ? Order::what::declined : Order::what::reversed, 0, {}, f.come_back});
+    give(f.txn, {f.declined ? Order::what::declined : Order::what::reversed, 0, {}, 0, f.come_back});
   if (d.list != list_call::none) want_list();
   if (d.wake_in > 0) {
     due_ = balancer_.now + d.wake_in;
@@ -124,9 +138,15 @@
   if (order.next == Order::what::post) {
     order.posting = v->sent_++;
     ++v->out_;
+    facts_.posted(id, order.posting, order.server, order.wait);
   } else if (order.next != Order::what::withdraw) {
     if (v->over_) return;
     v->over_ = true;
+    if (order.next != Order::what::gone)
+      facts_.answered(id, order.next == Order::what::settled    ? "settled"
+                          : order.next == Order::what::declined ? "declined"
+                                                                : "reversed",
+                      order.come_back);
     if (v->out_ == 0) visits_.erase(it);
   }
   v->orders_.push_back(std::move(order));
--- a/src/node/desk.h
+++ b/src/node/desk.h
@@ -9,6 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "../limits/limits.h"
+#include "../records/records.h"
 #include "clock.h"
 #include "counters.h"
 
@@ -21,6 +23,7 @@
   what next = what::gone;
   int posting = 0;       // post, withdraw, settled
   std::string server;    // post
+  micros wait = 0;       // post: for its answer; 0: until the txn's expiry
   micros come_back = 0;  // declined: how long the client should stay away; 0: not told
 };
 
@@ -40,15 +43,18 @@
     asio::steady_timer news_;
     std::deque<Order> orders_;
     int sent_ = 0, out_ = 0;
+    limits::Place place_;  // on its route, until its last posting has ended
     bool over_ = false;  // it has its final answer, or nobody waits for it
   };
   using visit = std::shared_ptr<Visit>;
 
-  Desk(asio::io_context& io, const Clock& clock, Counters& counters, Terms terms, std::uint32_t seed);
+  Desk(asio::io_context& io, const Clock& clock, Counters& counters, Terms terms, std::uint32_t seed,
+       records::Facts* facts = nullptr);
 
   bool knows(const std::string& id) const { return visits_.contains(id); }
   // `arrived`: when its last byte came, from which the time left counts.
-  visit take(const std::string& id, int scheme, int tenant, micros arrived, micros left, double cost);
+  visit take(const std::string& id, int scheme, int tenant, micros arrived, micros left, double cost,
+             limits::Taken route = {});
   awaitable<Order> pick(visit v);  // the next order; the last is a final answer or gone
   void report(const visit& v, int posting, ending how, micros lag, const Report* report);
   void leave(const visit& v);  // the client has gone away
@@ -68,6 +74,8 @@
   asio::io_context& io_;
   const Clock& clock_;
   Counters& counters_;
+  records::Facts none_;  // off
+  records::Facts& facts_;
   Balancer balancer_;
   std::unordered_map<std::string, visit> visits_;  // by txn, while it is not over or postings are out
   asio::steady_timer wake_, list_;
--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-#include "log.h"
+#include "../log/log.h"
 
 namespace robinpin::node {
 
@@ -40,26 +40,28 @@
   return news;
 }
 
-std::optional<News> news_of(std::string_view text) {
+std::optional<News> news_of(std::string_view text, std::string* why) {
   rapidjson::Document told;
   told.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
   try {
     if (told.HasParseError()) read::wrong("not JSON");
     return news_of(told);
   } catch (const read::malformed& what) {
-    log::warning("discovery: {}", what.what());
+    if (why) *why = what.what();
     return std::nullopt;
   }
 }
 
 List::List(asio::io_context& io, Sockets& sockets, Counters& counters, Desk& desk, Servers& servers,
-           tcp::endpoint at, steady::duration doubt_after, steady::duration doubt_every)
+           tcp::endpoint at, steady::duration doubt_after, steady::duration doubt_every,
+           records::Facts* facts)
     : io_(io),
       sockets_(sockets),
       counters_(counters),
       desk_(desk),
       servers_(servers),
       at_(at),
+      facts_(facts),
       doubt_after_(doubt_after),
       doubt_every_(doubt_every) {}
 
@@ -73,9 +75,33 @@
   }
   if (news.whole) servers_.only(servers);
   version_ = news.version;
+  if (facts_ && facts_->on()) recall(news);
   desk_.list_told(lines, news.whole, asked);
 }
 
+// What is new of it goes into the records; a whole list says mostly what was known.
+void List::recall(const News& news) {
+  static constexpr const char* names_of[] = {"serving", "draining", "gone"};
+  std::unordered_set<std::string> all;
+  for (const auto& [line, at] : news.entries) {
+    all.insert(line.server);
+    const std::pair is{line.state, line.started};
+    const auto [it, fresh] = told_.try_emplace(line.server, is);
+    if (!fresh && it->second == is) continue;
+    facts_->listed(line.server, line.zone, names_of[int(line.state)], news.version);
+    if (line.state == standing::gone)
+      told_.erase(it);
+    else
+      it->second = is;
+  }
+  if (news.whole)
+    std::erase_if(told_, [&](const auto& e) {
+      if (all.contains(e.first)) return false;
+      facts_->listed(e.first, "", names_of[2], news.version);
+      return true;
+    });
+}
+
 awaitable<void> List::follow() {
   for (;;) {
     co_await desk_.list_wanted();
@@ -84,11 +110,15 @@
       co_await watch_on();
     } catch (const std::exception& failure) {
       ++counters_.exceptions;
-      log::error("discovery: {}", failure.what());
+      why_ = failure.what();
     }
     connection_.reset();
     if (dropped_) continue;  // no failure that the module should wait after
     ++counters_.list_failures;
+    // A node that can't hear its list goes on with what it knows, and declines where it knows nothing.
+    if (trouble_.fails(why_))
+      log::warning(log::part::list, "the list is not heard from {}:{}: {}{}", at_.address().to_string(), at_.port(),
+                   why_, servers_.any() ? "" : "; no server is known, so every txn is declined");
     desk_.list_failed();
   }
 }
@@ -123,10 +153,18 @@
     const auto news = co_await watch();
     if (!news) co_return;
     version_ = news->version;
+    if (trouble_.mended())
+      log::info(log::part::list, "the list is heard again, after {} failures in {:.1f} s", trouble_.times(),
+                trouble_.lasted());
     if (first || news->whole || !news->entries.empty()) told(*news, true);
   }
 }
 
+std::optional<News> List::failed(std::string why) {
+  why_ = std::move(why);
+  return std::nullopt;
+}
+
 awaitable<std::optional<News>> List::watch() {
   ++counters_.list_calls;
   asked_at_ = steady::now();
@@ -135,7 +173,8 @@
     sockets_.make_room();
     connection_ = std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE, list_limits);
     connection_->limit(steady::now() + dial_limit);
-    if (co_await connection_->connect(at_)) co_return std::nullopt;
+    if (const auto error = co_await connection_->connect(at_))
+      co_return failed(connection_ && connection_->ran_out() ? "no connection within a second" : error.message());
   }
   const auto c = connection_;
   c->limit(steady::now() + watch_for + answer_slack);
@@ -143,13 +182,17 @@
       fmt::format("GET /registry/instances?after={}&wait_ms={} HTTP/1.1\r\nHost: discovery\r\n\r\n", version_,
                   watch_for.count());
   std::size_t written = 0;
-  if (co_await c->write(ask, {}, written)) co_return std::nullopt;
+  if (const auto error = co_await c->write(ask, {}, written)) co_return failed(error.message());
   asio::error_code error;
   const reading got = co_await c->read(error);
   c->no_limit();
-  if (got != reading::complete || c->in.status() != 200) co_return std::nullopt;
-  auto news = news_of(c->in.body());
-  if (news) counters_.list_news += news->entries.size();
+  if (got == reading::unfinished) co_return failed(c->ran_out() ? "no answer in time" : error.message());
+  if (got != reading::complete) co_return failed("an answer that is no HTTP, or too long");
+  if (c->in.status() != 200) co_return failed(fmt::format("status {}", c->in.status()));
+  std::string wrong;
+  auto news = news_of(c->in.body(), &wrong);
+  if (!news) co_return failed("an answer that is no list: " + wrong);
+  counters_.list_news += news->entries.size();
   const bool again = c->in.keep_alive() && c->in.next() == reading::unfinished;
   if (!again) connection_.reset();
   co_return news;
--- a/src/node/list.h
+++ b/src/node/list.h
@@ -26,13 +26,13 @@
 // Throws read::malformed, naming the faulty key.
 News news_of(const read::value& told);
 // Nothing if the text is not what discovery writes.
-std::optional<News> news_of(std::string_view text);
+std::optional<News> news_of(std::string_view text, std::string* why = nullptr);
 
 class List {
  public:
   List(asio::io_context& io, Sockets& sockets, Counters& counters, Desk& desk, Servers& servers,
        tcp::endpoint at, steady::duration doubt_after = std::chrono::seconds(2),
-       steady::duration doubt_every = std::chrono::seconds(10));
+       steady::duration doubt_every = std::chrono::seconds(10), records::Facts* facts = nullptr);
   void told(const News& news, bool asked);
   awaitable<void> follow();  // runs as long as the node
   // From now on the list is told elsewhere: it is asked there at once, from the start.
@@ -44,6 +44,8 @@
  private:
   awaitable<std::optional<News>> watch();
   awaitable<void> watch_on();
+  std::optional<News> failed(std::string why);
+  void recall(const News& news);
   void drop();
 
   asio::io_context& io_;
@@ -55,6 +57,10 @@
   std::shared_ptr<Connection> connection_;
   long long version_ = 0;
   bool dropped_ = false;  // the call that was out, by us
+  std::string why_;       // the last call failed
+  log::Trouble trouble_;
+  records::Facts* facts_;
+  std::unordered_map<std::string, std::pair<standing, micros>> told_;  // state and start, where records are kept
   steady::duration doubt_after_, doubt_every_;
   steady::time_point asked_at_{}, doubted_at_{};
 };
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,131 +1,134 @@
-// robinpin: one node. Wires the parts together and heeds the signals.
+// robinpin: the commands. A bare `robinpin` serves as EDGE_* say.
 #include <fcntl.h>
+#include <fmt/format.h>
 
-#include <asio.hpp>
-#include <csignal>
+#include <CLI/CLI.hpp>
+#include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <optional>
 
-#include "boot.h"
-#include "clients.h"
-#include "list.h"
-#include "log.h"
+#include "../config/file.h"
+#include "node.h"
+
+#ifndef ROBINPIN_VERSION
+#define ROBINPIN_VERSION "unknown"
+#endif
 
-namespace robinpin::node {
 namespace {
 
-const char* variable_of(const char* name) { return std::getenv(name); }
+using namespace robinpin;
 
-class Node {
- public:
-  explicit Node(Boot b)
-      : boot_(std::move(b)),
-        sockets_(boot_.most_sockets),
-        desk_(io_, clock_, counters_, boot_.house.terms, boot_.seed),
-        servers_(io_, clock_, sockets_, counters_, boot_.house, boot_.most_answer),
-        list_(io_, sockets_, counters_, desk_, servers_, boot_.discovery, std::chrono::seconds(2),
-              std::chrono::microseconds(boot_.house.terms.ask_every)),
-        clients_(io_, clock_, sockets_, counters_, desk_, servers_, boot_.house),
-        ends_(io_, SIGTERM, SIGINT),
-        asks_(io_, SIGUSR1),
-        renewals_(io_, SIGHUP) {}
-
-  void run() {
-    list_.told(boot_.known, false);
-    servers_.when_unreachable([this] { list_.doubt(); });
-    clients_.listen(boot_.listen);
-    spawn([this] { return desk_.tick(); });
-    spawn([this] { return servers_.sweep(); });
-    spawn([this] { return list_.follow(); });
-    spawn([this] { return clients_.accept(); });
-    spawn([this] { return await_end(); });
-    spawn([this] { return print_when_asked(); });
-    spawn([this] { return read_when_renewed(); });
-    log::info("{}: tier {} of {}, serves at {}:{}, {} servers known, {} sockets", boot_.name,
-              boot_.house.terms.tier, boot_.house.terms.tiers, boot_.listen.address().to_string(),
-              boot_.listen.port(), boot_.known.entries.size(), boot_.most_sockets);
-    io_.run();
-    log::info("{}: ended; counters:\n{}", boot_.name, counters_.text());
-  }
+constexpr int good = 0, faulty = 1, misused = 2;
 
- private:
-  // What runs as long as the node begins anew after a failure: one part's must not take the others with it.
-  void spawn(std::function<awaitable<void>()> part) {
-    asio::co_spawn(io_, keep_up(std::move(part)), asio::detached);
-  }
+const char* variable_of(const char* name) { return std::getenv(name); }
 
-  awaitable<void> keep_up(std::function<awaitable<void>()> part) {
-    asio::steady_timer pause(io_);
-    for (;;) {
-      try {
-        co_await part();
-        co_return;
-      } catch (const std::exception& failure) {
-        ++counters_.exceptions;
-        log::error("{}", failure.what());
-      }
-      pause.expires_after(std::chrono::milliseconds(20));
-      co_await pause.async_wait(asio::use_awaitable);
-    }
-  }
+void print(const std::string& text) { std::fwrite(text.data(), 1, text.size(), stdout); }
+void complain(const std::string& text) { std::fwrite(text.data(), 1, text.size(), stderr); }
 
-  awaitable<void> await_end() {
-    co_await ends_.async_wait(asio::use_awaitable);
-    log::info("{}: told to end", boot_.name);
-    co_await clients_.drain();
-    io_.stop();
+// The house's terms, where they are named; a fault in them is told with its file.
+std::optional<read::House> house(const std::string& path) {
+  try {
+    return node::house_of(node::bytes_of(path, "--terms"));
+  } catch (const std::exception& wrong) {
+    complain(fmt::format("{}: {}\n", path, wrong.what()));
+    return std::nullopt;
   }
+}
 
-  awaitable<void> print_when_asked() {
-    for (;;) {
-      co_await asks_.async_wait(asio::use_awaitable);
-      log::info("{}: counters:\n{}", boot_.name, counters_.text());
-    }
+int check(const std::string& file, const std::string& terms, bool json) {
+  std::optional<read::House> known;
+  if (!terms.empty() && !(known = house(terms))) return faulty;
+  const config::Reading r = config::load(file, known ? &*known : nullptr);
+  if (json) {
+    print(config::json(r) + "\n");
+    return r.good() ? good : faulty;
   }
-
-  // A new configuration may move discovery; all else holds until the next start. A faulty one changes nothing.
-  awaitable<void> read_when_renewed() {
-    for (;;) {
-      co_await renewals_.async_wait(asio::use_awaitable);
-      try {
-        const Boot renewed = boot_again(variable_of);
-        list_.move(renewed.discovery);
-        log::info("{}: configuration read again, discovery at {}:{}", boot_.name,
-                  renewed.discovery.address().to_string(), renewed.discovery.port());
-      } catch (const std::exception& faulty) {
-        log::error("{}: the new configuration is not used: {}", boot_.name, faulty.what());
-      }
-    }
+  complain(config::text(file, r.faults));
+  if (!r.notes.empty()) complain("cut short by the terms:\n" + config::text(file, r.notes));
+  if (!r.good()) {
+    complain(fmt::format("{}: {} fault{}\n", file, r.faults.size(), r.faults.size() == 1 ? "" : "s"));
+    return faulty;
   }
+  print(fmt::format("{}: good, {} routes, hash {}{}\n", file, r.file.routes.size(), r.file.hash,
+                    known ? "" : "; not held against a house's terms (--terms)"));
+  return good;
+}
 
-  Boot boot_;
-  Clock clock_;
-  Counters counters_;
-  Sockets sockets_;  // outlives what io_ still holds at the end
-  asio::io_context io_{1};
-  Desk desk_;
-  Servers servers_;
-  List list_;
-  Clients clients_;
-  asio::signal_set ends_, asks_, renewals_;
-};
+int explain(const std::string& file, const std::string& terms, const config::Question& txn) {
+  const std::optional<read::House> known = house(terms);
+  if (!known) return faulty;
+  const config::Reading r = config::load(file, &*known);
+  if (!r.good()) {
+    complain(config::text(file, r.faults));
+    return faulty;
+  }
+  const auto unknown = [&](const char* what, const std::string& name, const auto& names) {
+    if (names.contains(name)) return false;
+    std::string list;
+    for (const auto& [other, none] : names) list += " " + other;
+    complain(fmt::format("{}: \"{}\" is not known; the terms have{}\n", what, name, list.empty() ? " none" : list));
+    return true;
+  };
+  if (unknown("--scheme", txn.scheme, known->schemes)) return misused;
+  if (!txn.tenant.empty() && unknown("--tenant", txn.tenant, known->tenants)) return misused;
+  print(config::explain(r.file, *known, txn));
+  return good;
+}
 
 }  // namespace
-}  // namespace robinpin::node
 
-int main() {
-  using namespace robinpin::node;
-  std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // until the node can heed it: what it would renew has yet to be read
+int main(int argc, char** argv) {
   // Where a standard stream is closed its number would go to a socket, and the log into that.
   for (int fd = 0; fd <= 2; ++fd)
     if (::fcntl(fd, F_GETFD) < 0) ::open("/dev/null", O_RDWR);
+
+  CLI::App app{
+      "robinpin, a load balancer for services that call services.\n"
+      "Without a command it serves, by what EDGE_CONFIG and the other EDGE_ variables say."};
+  app.require_subcommand(0, 1);
+  app.footer(
+      "Exit codes: 0 good; 1 a fault in a file, or the node can't start; 2 a command that is not known, or misused.\n"
+      "Keys of the file: docs/configuration.md.");
+
+  std::string file, terms, format = "text";
+  config::Question txn;
+
+  auto* serve = app.add_subcommand("serve", "Serve until SIGTERM. SIGHUP reads the files again, whole or not at all.");
+  serve->add_option("--config", file,
+                    "a file of ours (TOML): limits per route, log, records.\nWhere EDGE_CONFIG speaks too, the stricter holds.")
+      ->type_name("FILE");
+
+  auto* checks = app.add_subcommand("check", "Read a file as `serve` would and tell every fault in it, with line and column.");
+  checks->add_option("file", file, "the file of ours")->required()->type_name("FILE");
+  checks->add_option("--terms", terms, "the node's JSON (as EDGE_CONFIG names it): checks the four rules, too")
+      ->type_name("NODE.json");
+  checks->add_option("--format", format, "text, or one JSON object on standard output")
+      ->check(CLI::IsMember({"text", "json"}))
+      ->capture_default_str();
+
+  auto* explains = app.add_subcommand(
+      "explain", "Tell which route a txn meets, each limit in force, and the line or the term that set it.");
+  explains->add_option("file", file, "the file of ours")->required()->type_name("FILE");
+  explains->add_option("--terms", terms, "the node's JSON")->required()->type_name("NODE.json");
+  explains->add_option("--scheme", txn.scheme, "the txn's scheme")->required()->type_name("NAME");
+  explains->add_option("--path", txn.path, "its path (default /)")->type_name("P");
+  explains->add_option("--method", txn.method, "its method (default: that of its scheme)")->type_name("M");
+  explains->add_option("--tenant", txn.tenant, "its tenant")->type_name("NAME");
+
+  auto* version = app.add_subcommand("version", "Tell the version.");
+
   try {
-    Node node(boot(variable_of));
-    node.run();
-    return 0;
-  } catch (const std::exception& failure) {
-    log::error("{}", failure.what());
-    return 1;
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& wrong) {
+    const int code = app.exit(wrong);  // help goes to standard output with 0
+    return code == 0 ? good : misused;
+  }
+  if (*version) {
+    print("robinpin " ROBINPIN_VERSION "\n");
+    return good;
   }
+  if (*checks) return check(file, terms, format == "json");
+  if (*explains) return explain(file, terms, txn);
+  return node::serve(file, variable_of);
 }
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,228 @@
+#include "node.h"
+
+#include <asio.hpp>
+#include <csignal>
+#include <exception>
+#include <filesystem>
+#include <optional>
+
+#include "../config/file.h"
+#include "../log/log.h"
+#include "clients.h"
+#include "list.h"
+#include "routes.h"
+
+namespace robinpin::node {
+namespace {
+
+log::level level_of(const std::string& word) {
+  return word == "debug"     ? log::level::debug
+         : word == "warning" ? log::level::warning
+         : word == "error"   ? log::level::error
+         : word == "off"     ? log::level::off
+                             : log::level::info;
+}
+
+log::Manner manner_of(const config::Log& said) {
+  log::Manner m;
+  m.json = said.format.value == "json";
+  m.least.fill(level_of(said.level.value));
+  for (const auto& [part, level] : said.parts)
+    for (std::size_t i = 0; i < log::parts; ++i)
+      if (part == log::part_names[i]) m.least[i] = level_of(level.value);
+  m.fold = std::chrono::milliseconds(std::max<micros>(1, said.fold.value / 1000));
+  return m;
+}
+
+records::Keeping keeping_of(const config::Records& said) {
+  return {said.path.value, said.rotate_at.value, said.keep.value, std::size_t(said.queue.value), said.flush.value};
+}
+
+std::vector<std::string> by_number(const std::unordered_map<std::string, int>& names) {
+  std::vector<std::string> found(names.size());
+  for (const auto& [name, i] : names)
+    if (std::size_t(i) < found.size()) found[std::size_t(i)] = name;
+  return found;
+}
+
+// The stricter of the platform's and ours holds.
+Boot narrowed(Boot b, const std::optional<config::Reading>& ours) {
+  if (!ours) return b;
+  const config::Node& n = ours->file.node;
+  if (n.sockets.said()) b.most_sockets = std::min(b.most_sockets, sockets_for_peers(n.sockets.value));
+  if (n.longest_answer.said()) b.most_answer = std::min(b.most_answer, n.longest_answer.value);
+  return b;
+}
+
+class Node {
+ public:
+  Node(Boot b, const std::optional<config::Reading>& ours, std::string config, std::string terms,
+       const environment& variable)
+      : boot_(narrowed(std::move(b), ours)),
+        variable_(variable),
+        config_(std::move(config)),
+        terms_(std::move(terms)),
+        facts_(ours && ours->file.records.path.said() ? kept(ours->file.records) : records::Facts()),
+        sockets_(boot_.most_sockets),
+        routes_(boot_.house, counters_, facts_),
+        desk_(io_, clock_, counters_, boot_.house.terms, boot_.seed, &facts_),
+        servers_(io_, clock_, sockets_, counters_, boot_.house, boot_.most_answer),
+        list_(io_, sockets_, counters_, desk_, servers_, boot_.discovery, std::chrono::seconds(2),
+              std::chrono::microseconds(boot_.house.terms.ask_every), &facts_),
+        clients_(io_, clock_, sockets_, counters_, desk_, servers_, boot_.house, routes_),
+        ends_(io_, SIGTERM, SIGINT),
+        asks_(io_, SIGUSR1),
+        renewals_(io_, SIGHUP) {
+    facts_.names(by_number(boot_.house.schemes), by_number(boot_.house.tenants));
+    facts_.started(boot_.name, boot_.house.terms.tier);
+    if (ours) routes_.renew(*ours);
+  }
+
+  void run() {
+    list_.told(boot_.known, false);
+    servers_.when_unreachable([this] { list_.doubt(); });
+    clients_.listen(boot_.listen);
+    spawn([this] { return desk_.tick(); });
+    spawn([this] { return servers_.sweep(); });
+    spawn([this] { return list_.follow(); });
+    spawn([this] { return clients_.accept(); });
+    spawn([this] { return await_end(); });
+    spawn([this] { return print_when_asked(); });
+    spawn([this] { return read_when_renewed(); });
+    spawn([this] { return tell_folded(); });
+    log::info(log::part::node, "{}: tier {} of {}, serves at {}:{}, {} servers known, {} sockets", boot_.name,
+              boot_.house.terms.tier, boot_.house.terms.tiers, boot_.listen.address().to_string(),
+              boot_.listen.port(), boot_.known.entries.size(), boot_.most_sockets);
+    io_.run();
+    facts_.ended("told to end");
+    counters_.records_dropped = facts_.dropped();
+    log::info(log::part::node, "{}: ended; counters:\n{}", boot_.name, counters_.text());
+  }
+
+ private:
+  records::Facts kept(const config::Records& said) {
+    return {keeping_of(said), boot_.name, [clock = clock_] { return clock.now(); },
+            [](const std::string& trouble) { log::warning(log::part::records, "{}", trouble); }};
+  }
+
+  // What runs as long as the node begins anew after a failure: one part's must not take the others with it.
+  void spawn(std::function<awaitable<void>()> part) {
+    asio::co_spawn(io_, keep_up(std::move(part)), asio::detached);
+  }
+
+  awaitable<void> keep_up(std::function<awaitable<void>()> part) {
+    asio::steady_timer pause(io_);
+    for (;;) {
+      try {
+        co_await part();
+        co_return;
+      } catch (const std::exception& failure) {
+        ++counters_.exceptions;
+        log::error(log::part::node, "{}", failure.what());
+      }
+      pause.expires_after(std::chrono::milliseconds(20));
+      co_await pause.async_wait(asio::use_awaitable);
+    }
+  }
+
+  awaitable<void> await_end() {
+    co_await ends_.async_wait(asio::use_awaitable);
+    log::info(log::part::node, "{}: told to end", boot_.name);
+    co_await clients_.drain();
+    io_.stop();
+  }
+
+  awaitable<void> print_when_asked() {
+    for (;;) {
+      co_await asks_.async_wait(asio::use_awaitable);
+      counters_.records_dropped = facts_.dropped();
+      log::info(log::part::node, "{}: counters:\n{}", boot_.name, counters_.text());
+    }
+  }
+
+  awaitable<void> tell_folded() {
+    asio::steady_timer timer(io_);
+    for (;;) {
+      timer.expires_after(std::chrono::seconds(1));
+      co_await timer.async_wait(asio::use_awaitable);
+      log::sweep();
+      counters_.records_dropped = facts_.dropped();
+    }
+  }
+
+  // A new configuration may move discovery, and a new file of ours the limits; all else holds until the next
+  // start. A faulty one changes nothing. The two stand for themselves: a fault in one does not hold up the other.
+  awaitable<void> read_when_renewed() {
+    for (;;) {
+      co_await renewals_.async_wait(asio::use_awaitable);
+      try {
+        const Boot renewed = boot_again(variable_, terms_);
+        list_.move(renewed.discovery);
+        log::info(log::part::config, "{}: configuration read again, discovery at {}:{}", boot_.name,
+                  renewed.discovery.address().to_string(), renewed.discovery.port());
+      } catch (const std::exception& faulty) {
+        log::error(log::part::config, "{}: the new configuration is not used: {}", boot_.name, faulty.what());
+      }
+      if (!config_.empty()) routes_.renew(co_await load_aside());
+    }
+  }
+
+  // A long file, or one that is just being written, must not hold up the txns.
+  awaitable<config::Reading> load_aside() {
+    asio::thread_pool aside(1);
+    co_return co_await asio::co_spawn(
+        aside, [this]() -> awaitable<config::Reading> { co_return config::load(config_, &boot_.house); },
+        asio::use_awaitable);
+  }
+
+  Boot boot_;
+  const environment variable_;
+  const std::string config_, terms_;
+  Clock clock_;
+  Counters counters_;
+  records::Facts facts_;
+  Sockets sockets_;  // outlives what io_ still holds at the end
+  Routes routes_;
+  asio::io_context io_{1};
+  Desk desk_;
+  Servers servers_;
+  List list_;
+  Clients clients_;
+  asio::signal_set ends_, asks_, renewals_;
+};
+
+}  // namespace
+
+int serve(const std::string& config, const environment& variable) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until the node can heed it: what it would renew has yet to be read
+  try {
+    std::optional<config::Reading> ours;
+    std::string terms;
+    if (!config.empty()) {
+      ours = config::load(config, nullptr);
+      const auto& told = ours->file.node.terms;
+      if (told.said()) terms = (std::filesystem::path(config).parent_path() / told.value).string();
+    }
+    const auto refused = [&] {
+      log::error(log::part::config, "{} can't be used:\n{}", config, config::text(config, ours->faults));
+      return 1;
+    };
+    if (ours && !ours->good()) return refused();
+    Boot b = boot(variable, terms);
+    if (ours) {
+      config::check(*ours, b.house);
+      if (!ours->good()) return refused();
+      log::open(manner_of(ours->file.log));
+    }
+    Node node(std::move(b), ours, config, terms, variable);
+    node.run();
+    log::finish();
+    return 0;
+  } catch (const std::exception& failure) {
+    log::error(log::part::node, "{}", failure.what());
+    return 1;
+  }
+}
+
+}  // namespace robinpin::node
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -102,6 +102,21 @@
   return true;
 }
 
+void Servers::dialled(const std::string& uid, const Connection& c, asio::error_code failed) {
+  const auto p = peers_.find(uid);
+  if (p == peers_.end()) return;
+  log::Trouble& t = p->second.dialling;
+  if (failed) {
+    const std::string cause = c.ran_out() ? "is not up in time" : failed.message();
+    if (t.fails(cause))
+      log::warning(log::part::servers, "{} at {}:{} takes no connection: {}", uid,
+                   p->second.at.address().to_string(), p->second.at.port(), cause);
+  } else if (t.mended()) {
+    log::info(log::part::servers, "{} takes connections again, after {} failures in {:.1f} s", uid, t.times(),
+              t.lasted());
+  }
+}
+
 awaitable<void> Servers::sweep() {
   asio::steady_timer timer(io_);
   for (;;) {
@@ -142,7 +157,9 @@
     call.connection = std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE,
                                                    Limits{16 * 1024, most_answer_});
     call.connection->limit(clock_.at(std::min(expiry, clock_.now() + house_.dial_limit)));
-    if (co_await call.connection->connect(at)) {
+    const auto failed = co_await call.connection->connect(at);
+    if (!call.withdrawn) dialled(uid, *call.connection, failed);
+    if (failed) {
       ++counters_.dials_failed;
       if (unreachable_ && !call.withdrawn) unreachable_();
       co_return;
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "../log/log.h"
 #include "../read/house.h"
 #include "connection.h"
 #include "counters.h"
@@ -66,7 +67,9 @@
     tcp::endpoint at;
     micros started = 0;
     std::deque<std::shared_ptr<Connection>> idle;  // the longest idle first
+    log::Trouble dialling;
   };
+  void dialled(const std::string& uid, const Connection& c, asio::error_code failed);
   std::shared_ptr<Connection> kept(Peer& peer);
   void keep(const std::string& uid, std::shared_ptr<Connection> connection);
   bool evict();
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -220,6 +220,7 @@
     action("Attempt", [&] {
       put("Ticket", s.txn);
       put("Server", s.server);
+      if (s.wait > 0) put("MaxWait", s.wait);
     });
   for (const auto& p : d.probes) action("SoundOut", [&] { put("Server", p); });
   if (d.list == list_call::watch)
--- /dev/null
+++ b/tests/commands_test.cpp
@@ -0,0 +1,166 @@
+// The program as a user has it: its commands and exit codes, and a reload of a running node by signal.
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "help.h"
+
+using namespace robinpin;
+using namespace robinpin::help::net;
+using Catch::Matchers::Contains;
+
+namespace {
+
+struct Folder {
+  std::filesystem::path path =
+      std::filesystem::temp_directory_path() / ("robinpin-commands-" + std::to_string(::getpid()));
+  Folder() { std::filesystem::create_directories(path); }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string write(const std::string& name, const std::string& text) const {
+    std::ofstream(path / name) << text;
+    return path / name;
+  }
+  std::string read(const std::string& name) const {
+    std::ifstream file(path / name);
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+};
+
+pid_t start(const Folder& f, std::vector<std::string> words) {
+  words.insert(words.begin(), ROBINPIN_BINARY);
+  std::vector<char*> args;
+  for (auto& w : words) args.push_back(w.data());
+  args.push_back(nullptr);
+  const std::string out = f.path / "out", err = f.path / "err";
+  const pid_t child = ::fork();
+  if (child == 0) {
+    ::unsetenv("EDGE_CONFIG");
+    ::dup2(::open(out.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600), 1);
+    ::dup2(::open(err.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600), 2);
+    ::execv(ROBINPIN_BINARY, args.data());
+    ::_exit(127);
+  }
+  return child;
+}
+
+int ended(pid_t child) {
+  int status = 0;
+  ::waitpid(child, &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+std::string terms(int port, int discovery = 1) {
+  return R"({"name":"n1","listen":"127.0.0.1:)" + std::to_string(port) + R"(","discovery":"127.0.0.1:)" +
+         std::to_string(discovery) +
+         R"(","seed":"8c","settings":{"Schemes":[{"Name":"view","SlaTime":500,"Expiry":1200},)"
+         R"({"Name":"pay","Effect":"unsafe","SlaTime":500,"Expiry":300}],"Permissions":{"MostPostings":5},"Guarantees":{"AskEvery":100}}})";
+}
+
+int free_port() {
+  asio::io_context io;
+  return tcp::acceptor(io, here).local_endpoint().port();
+}
+
+const std::string good = "[node]\nterms = \"n.json\"\n[defaults]\npostings = 2\n";
+
+template <typename Condition>
+bool soon(Condition condition) {
+  for (int i = 0; i < 1000 && !condition(); ++i) std::this_thread::sleep_for(5ms);
+  return condition();
+}
+
+// One answer's body, on a connection of its own; nothing if there is none.
+std::string get(int port, const std::string& bytes) {
+  asio::io_context io;
+  tcp::socket s(io);
+  asio::error_code error;
+  s.connect({asio::ip::address_v4::loopback(), std::uint16_t(port)}, error);
+  if (!error) asio::write(s, asio::buffer(bytes), error);
+  std::string heard;
+  if (!error) asio::read_until(s, asio::dynamic_buffer(heard), "\r\n\r\n", error);
+  const auto body = heard.find("\r\n\r\n") + 4, length = heard.find("Content-Length: ");
+  if (error || length == std::string::npos) return heard;
+  const auto whole = body + std::size_t(std::atoi(heard.c_str() + length + 16));
+  while (!error && heard.size() < whole)
+    asio::read(s, asio::dynamic_buffer(heard), asio::transfer_at_least(1), error);
+  return heard;
+}
+
+std::string page(int port, const std::string& path) {
+  return get(port, "GET " + path + " HTTP/1.1\r\nHost: b\r\n\r\n");
+}
+
+}  // namespace
+
+TEST_CASE("exit codes: good 0, a fault 1 with every fault told, misuse 2 before anything is done") {
+  const Folder f;
+  f.write("n.json", terms(1));
+  const std::string terms_file = f.path / "n.json";
+  const std::string fine = f.write("good.toml", good);
+  const std::string bad = f.write("bad.toml", "[[route]]\nname = \"r\"\nscheme = \"pay\"\nsecond_copies = true\n"
+                                              "posting_timeout = \"400ms\"\n");
+  CHECK(ended(start(f, {"check", fine, "--terms", terms_file})) == 0);
+  CHECK(ended(start(f, {"check", bad})) == 0);  // nothing is wrong with it but against a house
+  CHECK(ended(start(f, {"check", bad, "--terms", terms_file})) == 1);
+  CHECK_THAT(f.read("err"), Contains("bad.toml:4:17: ") && Contains("rule 2") && Contains("bad.toml:5:19: ") &&
+                                Contains("rule 1") && Contains("2 faults"));
+  CHECK(ended(start(f, {"check", bad, "--terms", terms_file, "--format", "json"})) == 1);
+  rapidjson::Document told;
+  told.Parse(f.read("out").c_str());
+  REQUIRE_FALSE(told.HasParseError());
+  CHECK((!told["good"].GetBool() && told["faults"].Size() == 2 && told["faults"][0]["line"].GetInt() == 4));
+  CHECK(ended(start(f, {"check", "/none.toml"})) == 1);
+  CHECK(ended(start(f, {"check", fine, "--terms", "/none.json"})) == 1);
+  CHECK(ended(start(f, {"explain", fine, "--terms", terms_file, "--scheme", "pay"})) == 0);
+  CHECK_THAT(f.read("out"), Contains("good.toml:4") && Contains("once-only"));
+  for (const auto& words : std::vector<std::vector<std::string>>{
+           {"check"}, {"chekc", fine}, {"check", fine, "--format", "xml"}, {"explain", fine}, {"serve", "--conf", fine},
+           {"explain", fine, "--terms", terms_file, "--scheme", "nope"}})
+    CHECK(ended(start(f, words)) == 2);
+  CHECK(ended(start(f, {"--help"})) == 0);
+  CHECK(ended(start(f, {"version"})) == 0);
+  CHECK(ended(start(f, {"serve", "--config", bad})) == 1);  // no terms are named: nothing starts
+  CHECK(ended(start(f, {})) == 1);
+}
+
+TEST_CASE("a running node takes a new file whole or not at all, says so once, and ends its records when told to end") {
+  const Folder f;
+  const int port = free_port();
+  f.write("n.json", terms(port));
+  const std::string ours = f.write("o.toml", good + "[records]\npath = \"" + (f.path / "r.jsonl").string() +
+                                                 "\"\nflush = \"5ms\"\n[log]\nformat = \"json\"\n");
+  const pid_t node = start(f, {"serve", "--config", ours});
+  REQUIRE(soon([&] { return page(port, "/config").find("\"version\":1") != std::string::npos; }));
+  std::ofstream(ours) << "[[route]]\nname = \"r\"\nscheme = \"pay\"\nrepeats = \"repeatable\"\n";
+  for (int i = 0; i < 3; ++i) {
+    ::kill(node, SIGHUP);
+    REQUIRE(soon([&] {
+      return page(port, "/counters").find("config_refused " + std::to_string(i + 1)) != std::string::npos;
+    }));
+  }
+  CHECK_THAT(page(port, "/config"), Contains("\"version\":1") && Contains("rule 2"));
+  std::ofstream(ours) << good << "in_flight = 3\n";
+  ::kill(node, SIGHUP);
+  REQUIRE(soon([&] { return page(port, "/config").find("\"version\":2") != std::string::npos; }));
+  // No server is known: declined at once or at its expiry, and the log says why.
+  CHECK_THAT(get(port, "POST /api HTTP/1.1\r\nHost: b\r\nRequest-Id: 7\r\nRequest-Class: pay\r\n"
+                       "Request-Timeout-Ms: 300\r\nContent-Length: 0\r\n\r\n"),
+             Contains("HTTP/1.1 5"));
+  ::kill(node, SIGTERM);
+  CHECK(ended(node) == 0);
+  const std::string log = f.read("err");
+  CHECK_THAT(log, Contains("no server is known, so every txn is declined") && Contains("\"part\":\"list\""));
+  const auto told = log.find("is not used, version 1 stays in force");
+  REQUIRE(told != std::string::npos);
+  CHECK(log.find("is not used", told + 1) == std::string::npos);
+  const auto back = records::read_back(f.path / "r.jsonl");
+  CHECK(back.broken == 0);
+  std::string story;
+  for (const auto& fact : back.facts) story += fact.fact + (fact.fact == "configured" ? "-" + fact.how : "") + " ";
+  CHECK_THAT(story, Contains("records started configured-accepted configured-refused configured-accepted") &&
+                        Contains("taken answered") && Contains("ended"));
+}
--- a/tests/help.h
+++ b/tests/help.h
@@ -13,6 +13,7 @@
 #include "desk.h"
 #include "list.h"
 #include "robinpin/choice.h"
+#include "routes.h"
 #include "servers.h"
 
 namespace robinpin::help {
@@ -143,15 +144,18 @@
   Sockets sockets;
   asio::io_context io{1};
   read::House house;
+  records::Facts facts;
+  Routes routes;
   Desk desk;
   Servers servers;
   Clients clients;
   explicit Parts(int most_sockets = 100, read::House h = net::house())
       : sockets(most_sockets),
         house(std::move(h)),
+        routes(house, counters, facts),
         desk(io, clock, counters, house.terms, 7),
         servers(io, clock, sockets, counters, house),
-        clients(io, clock, sockets, counters, desk, servers, house) {
+        clients(io, clock, sockets, counters, desk, servers, house, routes) {
     asio::co_spawn(io, desk.tick(), asio::detached);
   }
   void knows(const std::string& uid, tcp::endpoint at, micros started = 0) {
