--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cmath>
+#include <unordered_map>
 #include <utility>
 
 namespace robinpin::limits {
@@ -31,6 +32,15 @@
   return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '.' || c == '_' || c == '~';
 }
 
+// One pass: most paths are plain, and long ones are walked with every txn.
+bool is_plain(std::string_view path) {
+  for (std::size_t i = 0; i < path.size(); ++i) {
+    const char c = path[i], next = i + 1 < path.size() ? path[i + 1] : 'x';
+    if (c == '%' || c == '?' || c == '#' || (c == '/' && (next == '.' || next == '/'))) return false;
+  }
+  return true;
+}
+
 // Scheme, tenant and method as one key; `any` is 0.
 std::uint64_t key(int scheme, int tenant, int method) {
   const auto part = [](int n) { return std::uint64_t(std::uint32_t(n + 1)) & 0xffffffU; };
@@ -105,8 +115,9 @@
     for (const int i : numbers) {
       const Route& r = routes_[std::size_t(i)];
       p.says |= 1U << ((r.scheme != any ? 1 : 0) + (r.tenant != any ? 2 : 0) + (r.method.empty() ? 0 : 4));
-      p.routes.try_emplace(key(r.scheme, r.tenant, r.method.empty() ? any : method(r.method)), i);
+      p.routes.emplace_back(key(r.scheme, r.tenant, r.method.empty() ? any : method(r.method)), i);
     }
+    std::sort(p.routes.begin(), p.routes.end());  // of those that say the same, the first is met
     // The one before, or one above it: all between a text and its prefix begin with that prefix.
     for (int up = int(prefixes_.size()) - 1; up != any; up = prefixes_[std::size_t(up)].above)
       if (path.starts_with(prefixes_[std::size_t(up)].path)) {
@@ -126,9 +137,10 @@
 int Table::best(const Prefix& p, const Asked& t, int m, int best) const {
   for (int which = 0; which < 8; ++which) {
     if ((p.says >> which & 1) == 0) continue;
-    const auto r = p.routes.find(
-        key((which & 1) != 0 ? t.scheme : any, (which & 2) != 0 ? t.tenant : any, (which & 4) != 0 ? m : any));
-    if (r != p.routes.end()) best = std::min(best, r->second);
+    const std::uint64_t said =
+        key((which & 1) != 0 ? t.scheme : any, (which & 2) != 0 ? t.tenant : any, (which & 4) != 0 ? m : any);
+    const auto r = std::lower_bound(p.routes.begin(), p.routes.end(), std::pair(said, any));
+    if (r != p.routes.end() && r->first == said) best = std::min(best, r->second);
   }
   return best;
 }
@@ -136,8 +148,7 @@
 int Table::find(const Asked& t) const {
   std::string made_plain;
   std::string_view path = t.path;
-  if (path.find_first_of("%?#") != path.npos || path.find("/.") != path.npos || path.find("//") != path.npos)
-    path = made_plain = plain_path(path);
+  if (!is_plain(path)) path = made_plain = plain_path(path);
   const int none = int(routes_.size()), m = method(t.method);
   const auto after = std::upper_bound(prefixes_.begin(), prefixes_.end(), path,
                                       [](std::string_view p, const Prefix& a) { return p < a.path; });
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "robinpin/choice.h"
@@ -85,7 +85,7 @@
     int above = any;   // the longest other prefix of this one
     int first = 0;     // the first route here or above
     unsigned says = 0;  // which of scheme, tenant and method its routes say: a bit for each of the eight ways
-    std::unordered_map<std::uint64_t, int> routes;  // by what they say of scheme, tenant and method
+    std::vector<std::pair<std::uint64_t, int>> routes;  // by what they say of scheme, tenant and method
   };
   int best(const Prefix& p, const Asked& txn, int method, int best) const;
   int method(std::string_view name) const;
