Rehearsal kit, first cut: model of boxes and list, stand-ins on sockets, plans, judge

Need: the operators rehearse by hand and can't repeat last year's bad afternoon. Change: src/model, src/rehearse, plans/; src/codec split from the node, the reading of TOML tables shared by both kinds of file.

--- a/src/node/http.cpp
+++ b/src/codec/http.cpp
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <cstring>
 
-namespace robinpin::node {
+namespace robinpin::codec {
 
 namespace {
 
@@ -210,4 +210,4 @@
                            [&](const auto& h) { return same_name(text(h.first), name); }));
 }
 
-}  // namespace robinpin::node
+}  // namespace robinpin::codec
--- a/src/node/http.h
+++ b/src/codec/http.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace robinpin::node {
+namespace robinpin::codec {
 
 struct Limits {
   std::size_t head = 16 * 1024;
@@ -81,4 +81,4 @@
 // A whole number without sign or blanks; -1 if it is none or too large.
 long long whole_number(std::string_view text);
 
-}  // namespace robinpin::node
+}  // namespace robinpin::codec
--- a/src/config/explain.cpp
+++ b/src/config/explain.cpp
@@ -11,14 +11,6 @@
 
 namespace robinpin::config {
 
-std::string text(const std::string& path, const std::vector<Fault>& faults) {
-  std::string all;
-  for (const Fault& f : faults)
-    all += f.at.said() ? fmt::format("{}:{}:{}: {}: {}\n", path, f.at.line, f.at.column, f.key, f.what)
-                       : fmt::format("{}: {}: {}\n", path, f.key, f.what);
-  return all;
-}
-
 std::string json(const Reading& reading) {
   rapidjson::StringBuffer buffer;
   rapidjson::Writer<rapidjson::StringBuffer> out(buffer);
--- a/src/config/file.h
+++ b/src/config/file.h
@@ -11,26 +11,10 @@
 
 #include "../limits/limits.h"
 #include "../read/house.h"
+#include "told.h"
 
 namespace robinpin::config {
 
-struct At {  // from 1; 0: not said in the file
-  int line = 0, column = 0;
-  bool said() const { return line > 0; }
-};
-
-template <typename T>
-struct Told {
-  T value{};
-  At at;
-  bool said() const { return at.said(); }
-};
-
-struct Fault {
-  At at;
-  std::string key, what;
-};
-
 // The limits of a route, or those of [defaults] for routes that do not say theirs.
 struct Limits {
   Told<micros> posting_timeout, second_copy_after, come_back;
@@ -99,8 +83,6 @@
 // The routes in their order, that of [defaults] last. The file is one without faults.
 std::vector<limits::Route> routes(const File& file, const read::House& house);
 
-// "file:line:column: key: what", a line each.
-std::string text(const std::string& path, const std::vector<Fault>& faults);
 std::string json(const Reading& reading);
 // Which route a txn meets, each limit in force and what set it. Names are the file's and the house's.
 struct Question {
@@ -109,8 +91,6 @@
 std::string explain(const File& file, const read::House& house, const Question& txn);
 
 // What the other files of this package share.
-std::string duration(micros time);             // "250ms"
-std::optional<micros> duration(std::string_view text);
 Limits effective(const File& file, const Route& route);
 limits::Route compiled(const File& file, const Route& route, const read::House& house);
 std::string name_of(const Route& route, std::size_t number);
--- a/src/config/keys.h
+++ b/src/config/keys.h
@@ -19,7 +19,10 @@
 
 namespace robinpin::config {
 
-inline At at_of(const toml::node& n) { return {int(n.source().begin.line), int(n.source().begin.column)}; }
+// What was not read from the text (put in by hand) is told as its beginning.
+inline At at_of(const toml::node& n) {
+  return {std::max(1, int(n.source().begin.line)), std::max(1, int(n.source().begin.column))};
+}
 inline At at_of(const toml::key& k) { return {int(k.source().begin.line), int(k.source().begin.column)}; }
 
 // The known name that is likeliest meant; none if nothing is near.
@@ -29,7 +32,7 @@
 class Keys {
  public:
   using take = std::function<void(const toml::node&)>;
-  using known = std::map<std::string, take, std::less<>>;
+  using mapped = std::map<std::string, take, std::less<>>;
 
   explicit Keys(std::vector<Fault>& faults) : faults_(faults) {}
 
@@ -42,7 +45,7 @@
     return where.empty() ? name : where + (where.back() == '"' ? " " : ".") + name;
   }
 
-  void table(const toml::table& t, const std::string& where, const known& keys) {
+  void table(const toml::table& t, const std::string& where, const mapped& keys) {
     for (const auto& [k, node] : t) {
       const std::string name(k.str());
       if (const auto it = keys.find(name); it != keys.end()) {
@@ -61,7 +64,7 @@
     }
   }
 
-  void part(const toml::node& n, const std::string& where, const known& keys) {
+  void part(const toml::node& n, const std::string& where, const mapped& keys) {
     if (const auto* t = n.as_table())
       table(*t, where, keys);
     else
@@ -205,7 +208,7 @@
 template <typename Read>
 void read_toml(const std::string& path, std::string_view text, std::vector<Fault>& faults, Read read) {
   try {
-    const toml::table t = toml::parse(text, path);
+    toml::table t = toml::parse(text, path);
     read(t);
   } catch (const toml::parse_error& wrong) {
     const auto& at = wrong.source().begin;
--- a/src/model/box.h
+++ b/src/model/box.h
@@ -87,6 +87,7 @@
 
   // Returns a number to cancel it by; `ended` may be called before it returns.
   std::uint64_t arrive(Job job, const std::string& from);
+  std::uint64_t next_number() const { return number_ + 1; }  // that the next to arrive will get
   void called(std::uint64_t number, bool served);
   void cancel(std::uint64_t number);  // its caller has gone; what that stops hangs on the make
   bool connected();                   // false: it holds as many connections as it can
@@ -99,7 +100,12 @@
   void drain(bool draining) { draining_ = draining; }
   void slow(double times) { touch([&] { slow_ = times; }); }
   void take_away(double share) { touch([&] { taken_ = share; }); }  // by another program
-  void hang(bool hangs) { touch([&] { hangs_ = hangs; }); }
+  void hang(bool hangs) {
+    touch([&] {
+      hangs_ = hangs;
+      begin_next();
+    });
+  }
   void fail(double share) { failing_ = share; }  // quickly
   void refuse(bool all) { refusing_ = all; }
   void dear(int scheme, double share, double times) { dear_[scheme] = {share, times}; }
--- a/src/node/connection.h
+++ b/src/node/connection.h
@@ -7,11 +7,13 @@
 #include <string>
 #include <vector>
 
+#include "../codec/http.h"
 #include "clock.h"
-#include "http.h"
 
 namespace robinpin::node {
 
+using namespace codec;
+
 using asio::awaitable;
 using tcp = asio::ip::tcp;
 
