--- a/src/rehearse/daemon.cpp
+++ b/src/rehearse/daemon.cpp
@@ -56,6 +56,7 @@
     ::setpgid(0, 0);  // an interrupt at the terminal is the kit's to pass on
     ::dup2(ends[1], 1);
     ::dup2(ends[1], 2);
+    ::close_range(3, ~0U, 0);  // the kit's listening sockets, above all: they would stay in use
     ::execvpe(args[0], args.data(), env.data());
     ::_exit(127);
   }
--- a/src/rehearse/plan.h
+++ b/src/rehearse/plan.h
@@ -84,7 +84,7 @@
   Permissions permissions;
   int nodes = 4;
   std::string config;       // a file of ours for the nodes, as seen from the plan
-  int memory_mb = 192, sockets = 1024;
+  int memory_mb = 192, sockets = 1024;  // of each node's process; no memory: no limit
   micros front_notice = 1'500'000;  // until the front sees that a node has died
   std::string replay;               // a records file, whose mix and pacing is played instead of a drawn one
   double pace = 1;
--- a/tests/commands_test.cpp
+++ b/tests/commands_test.cpp
@@ -1,6 +1,7 @@
 // The program as a user has it: its commands and exit codes, and a reload of a running node by signal.
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -38,6 +39,7 @@
   const std::string out = f.path / "out", err = f.path / "err";
   const pid_t child = ::fork();
   if (child == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that fails leaves nothing behind
     ::unsetenv("EDGE_CONFIG");
     ::dup2(::open(out.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600), 1);
     ::dup2(::open(err.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600), 2);
