--- a/tests/rehearse_test.cpp
+++ b/tests/rehearse_test.cpp
@@ -197,6 +197,33 @@
   CHECK(o.happened.size() >= 8);
 }
 
+// No machine is on time to a hundredth of a microsecond.
+TEST_CASE("a kit that is short of processor says by how much it ran late, and the run is void") {
+  const Outcome o = played("length = \"1s\"\nwarm_up = \"0ms\"\n[kit]\nlate_p99 = \"1us\"\n" +
+                           small.substr(small.find("[load]")));
+  CHECK_THAT(o.void_because, Contains("the kit ran late") && Contains("limit 1us"));
+}
+
+// Its mix and pacing, twice as fast; what is not of the plan's schemes is passed over.
+TEST_CASE("a node's records are played again") {
+  const Folder f;
+  std::ofstream(f.path / "r.jsonl") << [] {
+    std::string lines;
+    for (int i = 0; i < 40; ++i)
+      lines += "{\"fact\":\"taken\",\"node\":\"n\",\"start\":1,\"n\":1,\"steady\":1,\"wall\":" +
+               std::to_string(1'000'000 + i * 50'000) + ",\"scheme\":\"" + (i % 4 == 0 ? "other" : "view") + "\"}\n";
+    return lines;
+  }();
+  std::string text = small;
+  text.replace(text.find("rate = 60"), 9, "replay = \"" + (f.path / "r.jsonl").string() + "\"\npace = 2\n");
+  text.replace(text.find("\"4s\""), 4, "\"2s\"");
+  const Outcome o = played(text);
+  INFO(told(o));
+  CHECK(o.history.deals.size() == 30);
+  CHECK(o.history.deals.back().asked - o.history.deals.front().asked == 950'000);
+  CHECK(o.verdict.rules_kept());
+}
+
 TEST_CASE("the baselines play the same plans by the same rules") {
   for (const policy by : {policy::random, policy::least}) {
     const Outcome o = played(small, by);
