Rehearsal kit: a client gives up in its own time, so that its retry may cross the answer

Need: the hard case of a retry crossing the answer was never played, because the stand-in client waited for answers past its own time. Change: it goes on at its expiry, the late answer is still heard for the judge; a test that makes tries cross, with all boxes hanging.

--- a/src/rehearse/stage.cpp
+++ b/src/rehearse/stage.cpp
@@ -746,6 +746,26 @@
     return from.empty() ? nullptr : from[chance.one_of(from.size())];
   }
 
+  // A client gives up when its time is over, and what it does next may cross the answer that is on its way.
+  awaitable<Heard> ask_for(Try t, NodeHost& node, std::string text) {
+    struct Waiting {
+      explicit Waiting(asio::io_context& io) : news(io) {}
+      asio::steady_timer news;
+      std::optional<Heard> heard;
+    };
+    auto w = std::make_shared<Waiting>(io_);
+    w->news.expires_at(at(t.expiry));
+    spawn([this, w, t = std::move(t), &node, text = std::move(text)]() -> awaitable<void> {
+      w->heard = co_await ask(t, node, text);
+      w->news.cancel();
+    });
+    asio::error_code woken;
+    co_await w->news.async_wait(redirect_error(use_awaitable, woken));
+    Heard late;
+    late.how = came::late;
+    co_return w->heard ? std::move(*w->heard) : late;
+  }
+
   awaitable<void> client(std::size_t deal) {
     const model::Wanted w = wanted_[deal];
     const auto& scheme = plan_.mix.schemes[std::size_t(w.scheme)];
@@ -766,7 +786,7 @@
         const micros wait = model::patience(plan_.clients, scheme, n);
         t.expiry = t.sent + wait;
         const std::string text = request(t.id, w.scheme, w.tenant, wait, mark);
-        const Heard h = co_await ask(std::move(t), *node, text);
+        const Heard h = co_await ask_for(std::move(t), *node, text);
         co_await sleep(plan_.net.client);
         come_back = h.come_back;
         how = h.how == came::unreachable ? model::heard::unreachable
--- a/tests/rehearse_test.cpp
+++ b/tests/rehearse_test.cpp
@@ -204,6 +204,19 @@
   CHECK_THAT(o.void_because, Contains("the kit ran late") && Contains("limit 1us"));
 }
 
+TEST_CASE("a client's retry that crosses the answer on its way is a try of its own, and no rule breaks") {
+  std::string text = small + "[[fault]]\nwhat = \"hanging\"\nat = \"1s\"\nfor = \"1500ms\"\n[clients]\nwait = \"0ms\"\ntry_share = 0.4\n[net]\nclient = \"0ms\"\n";
+  text.replace(text.find("share = 2\nwork"), 9, "share = 2\nsla = \"300ms\"\nexpiry = \"800ms\"");
+  const Outcome o = played(text);
+  INFO(told(o));
+  int crossed = 0;
+  for (const Try& t : o.history.tries)
+    for (const Try& next : o.history.tries)
+      if (t.tier == 0 && next.tier == 0 && t.txn == next.txn && next.id > t.id && t.answered > next.sent) ++crossed;
+  CHECK(crossed > 0);
+  CHECK(o.verdict.rules_kept());
+}
+
 // Its mix and pacing, twice as fast; what is not of the plan's schemes is passed over.
 TEST_CASE("a node's records are played again") {
   const Folder f;
