--- a/src/model/box.cpp
+++ b/src/model/box.cpp
@@ -159,6 +159,7 @@
   Held& h = held_.at(number);
   h.running = true;
   h.finish = attained_ + work;
+  h.piece = work;
   running_.emplace(h.finish, number);
 }
 
@@ -167,6 +168,7 @@
   if (it == held_.end()) return;
   Held& h = it->second;
   h.running = false;
+  h.spent += h.piece;
   if (h.job.calls < 0) return end(number, done::error);
   if (h.call < h.job.calls) {
     const auto call = h.job.call;  // it may answer at once
@@ -210,7 +212,7 @@
   --in_slots_;
   const double took = double(agenda_.now() - h.came);
   latency_ = latency_ == 0 ? took : latency_ + 0.1 * (took - latency_);
-  if (h.gone) work_wasted += h.job.work;
+  if (h.gone) work_wasted += h.spent;
   begin_next();
   h.job.ended(how);
 }
--- a/src/model/box.h
+++ b/src/model/box.h
@@ -120,14 +120,15 @@
   int tipped = 0;
   bool fell = false;
   std::function<void(const std::map<std::string, double>& by_sender)> on_fall;  // work in the window
-  double work_done = 0, work_wasted = 0;  // wasted: for callers that had gone
+  double work_done = 0, work_wasted = 0;  // wasted: of what was done, for callers that had gone
 
  private:
   struct Held {
     Job job;
     double left = 0;       // of its own work, while it does not run on a core
-    double finish = 0;     // in attained work, while it does
+    double finish = 0, piece = 0;  // in attained work, while it does; and how much of it this run is
     double after = 0;      // its work after the calls
+    double spent = 0;      // on cores so far
     int call = 0;
     micros came = 0;
     bool running = false, gone = false, begun = false;
--- a/tests/model_test.cpp
+++ b/tests/model_test.cpp
@@ -152,6 +152,18 @@
   }
 }
 
+TEST_CASE("what is done for who has gone is waste, and no more than was done") {
+  World w;
+  const auto a = w.send("a", 100 * ms, 1);
+  w.send("b", 100 * ms);
+  w.agenda.advance(80 * ms);
+  w.box.cancel(a);
+  w.box.called(a, false);  // its call failed: half of its work was done
+  w.agenda.advance(s);
+  CHECK(w.box.work_wasted == Approx(50 * ms));
+  CHECK(w.box.work_done == Approx(150 * ms));
+}
+
 TEST_CASE("half the machine taken doubles the time; a hanging box answers when it is let go") {
   World w;
   w.box.take_away(0.5);
