--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -239,6 +239,10 @@
 
 enum class list_call { none, watch };
 
+// Why a txn was given up: not let in as answers are slow, no answer foreseen in time, no room, waited too long for
+// room, no further posting allowed, may have run and may not run again, or its time is up.
+enum class cause { slow, foreseen, no_room, waited, spent, may_have_run, late };
+
 struct Decisions {
   struct Send {
     std::string txn, server;
@@ -248,6 +252,7 @@
     std::string txn;
     bool declined = true;  // otherwise reversed
     micros come_back = 0;
+    cause why = cause::late;
   };
   struct Withdrawal {
     std::string txn;
@@ -333,7 +338,7 @@
   bool probe_unchosen();
   bool plan_wake();
   void post(const std::string& id, Txn& txn, Server& server, bool trial);
-  void answer(const std::string& id, Txn& txn);
+  void answer(const std::string& id, Txn& txn, cause why);
   void close(const std::string& id, Txn& txn);
   void sample(Server& server, bool good, micros latency, bool trial);
   void start_anew(Server& server);
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -238,12 +238,12 @@
 }
 
 // Every final answer of ours passes here.
-void Balancer::answer(const std::string& id, Txn& txn) {
+void Balancer::answer(const std::string& id, Txn& txn, cause why) {
   if (txn.answered) return;
   const bool declined = may_decline(txn) && now < txn.expiry;
   const micros advice = txn.allowed.come_back > 0 ? txn.allowed.come_back : 2 * typical();
   todo_.finals.push_back(
-      {id, declined, declined && terms.advice_heeded ? std::min(terms.longest_advice, advice) : 0});
+      {id, declined, declined && terms.advice_heeded ? std::min(terms.longest_advice, advice) : 0, why});
   close(id, txn);
 }
 
@@ -456,7 +456,7 @@
   };
   auto& [id, next] = **std::min_element(held.begin(), held.end(), before);
   if (terms.tier == 0 && next.postings.empty() && next.luck >= admitted(value(next))) {
-    answer(id, next);
+    answer(id, next, cause::slow);
     return true;
   }
   bool trial = false;
@@ -464,7 +464,7 @@
     // Held for no use, it would keep those behind it waiting; an idle server is tried all the same.
     if (terms.tier == 0 && !trial && next.postings.empty() && !s->out.empty() &&
         double(foreseen(*s)) > (0.4 + 0.3 * value(next)) * double(time_left(next)))
-      answer(id, next);
+      answer(id, next, cause::foreseen);
     else
       post(id, next, *s, trial);
     return true;
@@ -475,7 +475,7 @@
   auto& [least_id, least] = **std::max_element(held.begin(), held.end(), before);
   const double could_go = settled_.read(now, memory) / seen_for() * double(patience(least));
   if (double(held.size()) <= 1 + could_go) return false;
-  answer(least_id, least);
+  answer(least_id, least, cause::no_room);
   return true;
 }
 
@@ -497,7 +497,7 @@
     const bool waited = terms.tier == 0 && now - t.taken > 2 * patience(t) && t.postings.empty();
     const bool late = t.expiry - now <= 2 * pace || earns_no_more(t);
     if (!spent && !stuck && !waited && !late) continue;
-    answer(id, t);
+    answer(id, t, spent ? cause::spent : stuck ? cause::may_have_run : waited ? cause::waited : cause::late);
     fired = true;
   }
   return fired;
--- a/src/node/counters.cpp
+++ b/src/node/counters.cpp
@@ -25,6 +25,7 @@
   put("health_calls", health_calls);
   for (std::size_t i = 0; i < ending_names.size(); ++i)
     put(fmt::format("postings_{}", ending_names[i]), postings[i]);
+  for (std::size_t i = 0; i < cause_names.size(); ++i) put(fmt::format("given_up_{}", cause_names[i]), given_up[i]);
   put("dials", dials);
   put("dials_failed", dials_failed);
   put("connections_reused", reuses);
--- a/src/node/counters.h
+++ b/src/node/counters.h
@@ -12,12 +12,16 @@
 constexpr std::array<const char*, 8> ending_names = {"settled",     "error", "refused",   "timed_out",
                                                      "unreachable", "reset", "withdrawn", "moot"};
 
+constexpr std::array<const char*, 7> cause_names = {"slow",  "foreseen",     "no_room", "waited",
+                                                    "spent", "may_have_run", "late"};
+
 struct Counters {
   using count = std::uint64_t;
   count clients_accepted = 0, clients_evicted = 0, accepts_failed = 0;
   count txns_taken = 0, settled = 0, declined = 0, reversed = 0, clients_left = 0, answers_broken = 0;
   count bad_requests = 0, health_calls = 0;
   std::array<count, 8> postings{};  // by ending
+  std::array<count, 7> given_up{};  // by cause
   count dials = 0, dials_failed = 0, reuses = 0, idle_closed = 0, idle_evicted = 0, no_room = 0;
   count list_calls = 0, list_failures = 0, list_news = 0, list_doubts = 0;
   count limited_in_flight = 0, limited_by_rate = 0, config_accepted = 0, config_refused = 0, records_dropped = 0;
--- a/src/node/desk.cpp
+++ b/src/node/desk.cpp
@@ -61,7 +61,7 @@
   --v->out_;
   const bool answers = how == ending::settled && !v->over_;
   carry_out(balancer_.posting_ended(clock_.now(), v->id, posting, how, lag, answers || v->over_, report));
-  if (answers) give(v->id, {Order::what::settled, posting, {}, 0, 0});
+  if (answers) give(v->id, {Order::what::settled, posting, {}, 0, 0, {}});
   if (v->over_ && v->out_ == 0) visits_.erase(v->id);
 }
 
@@ -70,7 +70,7 @@
   ++counters_.clients_left;
   facts_.left(v->id);
   carry_out(balancer_.client_left(clock_.now(), v->id));
-  give(v->id, {Order::what::gone, 0, {}, 0, 0});
+  give(v->id, {Order::what::gone, 0, {}, 0, 0, {}});
 }
 
 void Desk::end_by(micros at) {
@@ -120,10 +120,10 @@
 
 // Withdrawals go first: the final answer is the last order that is picked.
 void Desk::carry_out(const Decisions& d) {
-  for (const auto& w : d.withdrawals) give(w.txn, {Order::what::withdraw, w.posting, {}, 0, 0});
-  for (const auto& s : d.sends) give(s.txn, {Order::what::post, 0, s.server, s.wait, 0});
+  for (const auto& w : d.withdrawals) give(w.txn, {Order::what::withdraw, w.posting, {}, 0, 0, {}});
+  for (const auto& s : d.sends) give(s.txn, {Order::what::post, 0, s.server, s.wait, 0, {}});
   for (const auto& f : d.finals)
-    give(f.txn, {f.declined ? Order::what::declined : Order::what::reversed, 0, {}, 0, f.come_back});
+    give(f.txn, {f.declined ? Order::what::declined : Order::what::reversed, 0, {}, 0, f.come_back, f.why});
   if (d.list != list_call::none) want_list();
   if (d.wake_in > 0) {
     due_ = balancer_.now + d.wake_in;
@@ -142,11 +142,13 @@
   } else if (order.next != Order::what::withdraw) {
     if (v->over_) return;
     v->over_ = true;
+    const bool ours = order.next == Order::what::declined || order.next == Order::what::reversed;
+    if (ours) ++counters_.given_up[std::size_t(order.why)];
     if (order.next != Order::what::gone)
       facts_.answered(id, order.next == Order::what::settled    ? "settled"
                           : order.next == Order::what::declined ? "declined"
                                                                 : "reversed",
-                      order.come_back);
+                      order.come_back, ours ? cause_names[std::size_t(order.why)] : "");
     if (v->out_ == 0) visits_.erase(it);
   }
   v->orders_.push_back(std::move(order));
--- a/src/node/desk.h
+++ b/src/node/desk.h
@@ -25,6 +25,7 @@
   std::string server;    // post
   micros wait = 0;       // post: for its answer; 0: until the txn's expiry
   micros come_back = 0;  // declined: how long the client should stay away; 0: not told
+  cause why = cause::late;  // declined, reversed
 };
 
 class Desk {
--- a/src/records/facts.cpp
+++ b/src/records/facts.cpp
@@ -175,10 +175,12 @@
   put(l.put("txn", txn).put("posting", std::int64_t(posting)).put("how", how).put("time", lag));
 }
 
-void Facts::answered(const std::string& txn, const char* how, micros come_back) {
+void Facts::answered(const std::string& txn, const char* how, micros come_back, const char* why) {
   if (!on()) return;
   Line l = begin("answered");
-  put(l.put("txn", txn).put("how", how).put("time", come_back));
+  l.put("txn", txn).put("how", how).put("time", come_back);
+  if (*why) l.put("text", why);
+  put(l);
 }
 
 void Facts::left(const std::string& txn) {
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -72,7 +72,7 @@
   void limited(const std::string& txn, std::string_view route, const char* by, micros come_back);
   void posted(const std::string& txn, int posting, const std::string& server, micros wait);
   void posting_ended(const std::string& txn, int posting, const char* how, micros lag);
-  void answered(const std::string& txn, const char* how, micros come_back);
+  void answered(const std::string& txn, const char* how, micros come_back, const char* why = "");
   void left(const std::string& txn);
   void configured(const std::string& hash, int version, const std::string& faults);  // none: accepted
 
