Cold servers are paced by the best pace of late and count in the room for what they can do

Their credit goes by what this node sends now (cold_allows), which is little while it declines most: the servers that could end the want are starved by it. Change: pace per size a server can do, at its best of late (fading over 30 s); the size of the fleet counts cold servers by warmth.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -299,7 +299,7 @@
   micros now = 0, bin_width = 1, started = 0;
   int bins = 1;
   int calls = 0;          // postings so far
-  double fleet_size = 0;  // of the servers in service
+  double fleet_size = 0;  // of the servers in service, the cold for what they can do
 
   // The gates, and what the rules are made of.
   bool may_post(const Txn& txn, const Server& server) const;
@@ -313,7 +313,7 @@
   double likely(const Server& server, micros left) const;
   micros foreseen(const Server& server) const;
   Server* choose(const Txn& txn, micros left, bool& trial);
-  bool cold_allows(Server& server, double circle_size);
+  bool cold_allows(Server& server, double able);
   bool unchosen(const Server& server, double circle_size) const;
   bool fails(const Server& server, int scheme) const;
   Circle circle() const;
@@ -365,6 +365,8 @@
   std::vector<Seen> seen_;  // by scheme
   double calm_ = 0;         // the lowest mean latency seen of late
   micros calm_at_ = 0;
+  double best_pace_ = 0;  // calls a second to a warm server of size one, at the most of late
+  micros best_pace_at_ = 0;
   micros short_of_room_ = -(micros(1) << 60);
   micros next_ask_ = 0, ask_wait_ = 0, wake_at_ = 0;
   bool watching_ = false, asked_ = false;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -176,12 +176,15 @@
 }
 
 // A cold server gets credit at the pace at which this node sends to a warm one of its size, times its share
-// of warmth. Credit starts at a random part of a call, so that the nodes' first calls do not come together.
-bool Balancer::cold_allows(Server& s, double circle_size) {
+// of warmth; at the best such pace of late, for a node that declines most would starve the cold servers that
+// could end its want. Credit starts at a random part of a call, so that the nodes' first calls do not come together.
+bool Balancer::cold_allows(Server& s, double able) {
   const double share = cold_share(s);
   if (share >= 1) return true;
-  const double pace_now = sent.read(now, memory) / seen_for() * double(second) * s.line.size / circle_size;
-  const double allowed = 0.4 * terms.tip_multiple * share * pace_now;  // calls a second
+  const double pace_now = sent.read(now, memory) / seen_for() * double(second) / std::max(1e-9, able);
+  best_pace_ = std::max(pace_now, best_pace_ * std::exp(-double(now - best_pace_at_) / double(slow_memory)));
+  best_pace_at_ = now;
+  const double allowed = 0.4 * terms.tip_multiple * share * best_pace_ * s.line.size;  // calls a second
   if (s.credit_at < s.line.started || s.credit_at == 0) {
     s.cold_credit = part_of_one();
     s.credit_at = now;
@@ -299,10 +302,8 @@
 
 void Balancer::draw_rings() {
   rings_ = {};
-  fleet_size = 0;
   for (auto& [id, s] : servers) {
     if (!s.serving()) continue;
-    fleet_size += s.line.size;
     std::uint32_t place = 2166136261U;
     for (const char c : id) place = (place ^ std::uint8_t(c)) * 16777619U;
     rings_[terms.price_crossing > 0 && s.line.zone != terms.zone].emplace_back(place, &s);
@@ -353,9 +354,13 @@
   const double worth = value(txn);
   const bool may_try = txn.postings.empty() && kind(txn) != repeats::once_only;
   const Circle near = circle();
+  double able = 0;
+  fleet_size = 0;  // a cold server counts for what it can do
+  for (const auto& [id, s] : servers) fleet_size += s.serving() ? s.line.size * cold_share(s) : 0;
+  for (const auto& [s, part, none] : near.servers) able += part * s->line.size * cold_share(*s);
   for (const auto& [s, part, none] : near.servers) {
     in_flight += double(s->out.size());
-    cold_allows(*s, near.size);
+    cold_allows(*s, able);
     if (!may_post(txn, *s)) continue;
     all_fail = all_fail && s->failures >= failures_seen;
     if (terms.tier == 0 && !s->out.empty() &&
--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -141,3 +141,34 @@
   CHECK(d.finals.size() == 1);
   CHECK(d.sends.empty());
 }
+
+TEST_CASE("a node that declines most still sends a cold server what a calm pace allows it") {
+  Terms t = terms();
+  t.cold_for = 20'000 * ms;
+  t.cold_from = 0.12;
+  t.tip_multiple = 4;
+  t.tip_window = 1500 * ms;
+  Balancer b = knowing({"warm", "cold"}, t);
+  b.started = noon - 60'000 * ms;
+  Server& cold = b.servers["cold"];
+  cold.line.started = noon - ms;
+  b.now = noon;
+  b.sent.add(noon, 5000 * ms, 100);  // twenty a second
+  b.cold_allows(cold, 1);
+  const bool declining = GENERATE(false, true);
+  if (declining) b.sent = {};
+  const double before = cold.cold_credit;
+  b.now += 300 * ms;
+  b.cold_allows(cold, 1);
+  CHECK(cold.cold_credit - before == Approx(0.3 * 20 * 0.4 * 4 * 0.12).epsilon(0.15));
+}
+
+TEST_CASE("room counts a cold server for what it can do") {
+  Terms t = terms();
+  t.cold_for = 20'000 * ms;
+  t.cold_from = 0.25;
+  Balancer b = knowing({"warm", "cold"}, t);
+  b.servers["cold"].line.started = noon;
+  b.txn_taken(noon, "t", 0, -1, 1200 * ms, 0);
+  CHECK(b.fleet_size == Approx(1.25));
+}
