Room at a server: the mean held, and the larger of a least and of what a calm pace holds

Each node was within its room: max(1, room) lets each of 17 have one call at a small server (choose), and room() adds a least of 2 calls by size to what a calm pace holds, so 25 at a large one. After it, mean latency stays at twice the calm one with 1.4 calls out at a node, as small and cold servers answer more of it, and three in four txns are not let in. Change: a server's room also bounds the mean held there over the last second; room is the larger of the two terms; mean latency counts what a warm server of the usual kind would have taken.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -193,7 +193,14 @@
   Mean latency, crowd;
   double cold_credit = 0;
   micros credit_at = 0;
+  double held = 0;  // the mean of our postings in flight, over the last second or so
+  micros held_at = 0;
   bool serving() const { return known && told_off < 0; }
+  double holds(micros now) {  // as it stands, before `out` changes
+    const double kept = std::exp(-double(now - held_at) / 1e6);
+    held_at = now;
+    return held = kept * held + (1 - kept) * double(out.size());
+  }
 };
 
 struct Near {  // a server of the node's circle, what part of it, and its place in the table
@@ -321,6 +328,8 @@
   void draw_rings();
   double admitted(double worth) const;
   double capacity(const Server& server) const;
+  double room(double part, const Fading& settled, double worth) const;
+  void sample(Server& server, bool good, micros latency, bool trial);
 
  private:
   struct Seen {
@@ -340,7 +349,6 @@
   void post(const std::string& id, Txn& txn, Server& server, bool trial);
   void answer(const std::string& id, Txn& txn, cause why);
   void close(const std::string& id, Txn& txn);
-  void sample(Server& server, bool good, micros latency, bool trial);
   void start_anew(Server& server);
   void withdraw_but(const std::string& id, const Txn& txn, int kept);
   double part_of_one();
@@ -352,7 +360,6 @@
   bool earns_no_more(const Txn& txn) const;
   void weigh_schemes();
   micros patience(const Txn& txn) const;
-  double room(double part, const Fading& settled, double worth) const;
 
   double cold_share(const Server& server) const;
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -133,7 +133,10 @@
     const auto life = std::max(memory, micros(1.5 * calm_samples * seen_for() / arrivals.read(now, memory)));
     const double count = all_latency_.count.read(now, life);
     const bool known = count >= calm_samples || (count >= calm_samples / 3 && now - started >= second);
-    all_latency_.take(now, life, double(known ? std::min(latency, 3 * usual) : latency));
+    // As a warm server of the usual kind would have taken: else a fleet whose large servers give way to small
+    // or cold ones looks crowded when it is not.
+    const auto even = micros(double(latency) / (s.kind ? s.kind->slow() : 1));
+    if (cold_share(s) >= 1) all_latency_.take(now, life, double(known ? std::min(even, 3 * usual) : even));
     settled_.add(now, memory, 1);
     const double risen = calm_ * (1 + double(now - calm_at_) / double(calm_memory));
     if (known)
@@ -153,12 +156,14 @@
 }
 
 // How many of this node's calls a server has room for. What answers at its calm pace has (settled a second) x
-// (calm latency) in flight; far more only wait, and a server kept crowded turns slow and stays so. Txns of
+// (calm latency) in flight; far more only wait, and a server kept crowded turns slow and stays so. The larger of
+// that and of a least, not their sum: the sum of all nodes filled large servers until they turned slow. Txns of
 // little value give way first. Inner tiers send what they get, paid for already, but pass such servers over.
 double Balancer::room(double part, const Fading& settled, double worth) const {
-  return cores_guess * part * fleet_size / terms.nodes * (0.5 + worth) +
-         (1 + room_factor / terms.tiers * worth) * settled.read(now, memory) / seen_for() *
-             (calm_ > 0 ? calm_ : double(typical()));
+  const double least = cores_guess * part * fleet_size / terms.nodes * (0.5 + worth);
+  const double calm = (1 + room_factor / terms.tiers * worth) * settled.read(now, memory) / seen_for() *
+                      (calm_ > 0 ? calm_ : double(typical()));
+  return std::max(least, calm);
 }
 
 // What part of the txns one of many nodes lets in. Its own calls in flight are too few to limit what hundreds
@@ -272,6 +277,7 @@
     if (txn.allowed.spent) txn.allowed.spent->further.add(now, memory, 1);
   }
   txn.postings.push_back({&s, now, int(s.out.size()), trial, false, false});
+  s.holds(now);
   s.out.push_back(now);
   todo_.sends.push_back({id, s.line.server, txn.allowed.wait});
 }
@@ -363,9 +369,9 @@
     cold_allows(*s, able);
     if (!may_post(txn, *s)) continue;
     all_fail = all_fail && s->failures >= failures_seen;
-    if (terms.tier == 0 && !s->out.empty() &&
-        double(s->out.size()) >= std::max(1.0, room(s->line.size / near.size, s->latency.count, worth)))
-      continue;
+    // By the mean held, too: a room below one call would let every one of many nodes have one there.
+    const double there = room(s->line.size / near.size, s->latency.count, worth);
+    if (terms.tier == 0 && (double(s->out.size()) >= std::max(1.0, there) || s->holds(now) >= there)) continue;
     const bool again = !txn.postings.empty() && txn.postings.back().server == s;
     const double weight = capacity(*s) * part * (s->line.zone == terms.zone ? 1 : abroad());
     ranked.push_back({s, weight, likely(*s, left) - (again ? 1 : 0)});
@@ -649,6 +655,7 @@
   Server& s = *p.server;
   p.ended = true;
   p.never_ran = how == ending::refused || how == ending::unreachable || how == ending::moot;
+  s.holds(now);
   if (const auto o = std::find(s.out.begin(), s.out.end(), p.sent); o != s.out.end()) s.out.erase(o);
   if (p.trial) s.on_trial = false;
   if (how == ending::settled) {
--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -172,3 +172,69 @@
   b.txn_taken(noon, "t", 0, -1, 1200 * ms, 0);
   CHECK(b.fleet_size == Approx(1.25));
 }
+
+TEST_CASE("one call each of many nodes is a crowd: the mean held at a server stays within its room") {
+  Balancer b = knowing({"a", "b", "c"});
+  b.terms.nodes = 20;
+  b.fleet_size = 3;
+  for (auto& [id, s] : b.servers) {
+    s.held = 0.3;  // room is 2 x 3 / 20 nodes / 3 servers x 1.5 = 0.15
+    s.held_at = noon;
+  }
+  bool trial = false;
+  b.now = noon + ms;
+  CHECK(b.choose(txn(0), 500 * ms, trial) == nullptr);
+  b.now = noon + 1100 * ms;
+  CHECK(b.choose(txn(0), 500 * ms, trial) != nullptr);
+}
+
+TEST_CASE("the mean held follows what is in flight") {
+  Server s;
+  s.held_at = noon;
+  CHECK(s.holds(noon + 100 * ms) == Approx(0));
+  s.out = {noon + 100 * ms};
+  CHECK(s.holds(noon + 1100 * ms) == Approx(1 - std::exp(-1.0)));
+  s.out.clear();
+  CHECK(s.holds(noon + 2100 * ms) == Approx((1 - std::exp(-1.0)) * std::exp(-1.0)));
+}
+
+TEST_CASE("the part let in is not cut because what answers is of a slower kind, or cold") {
+  Terms t = terms();
+  t.nodes = 17;
+  t.cold_for = 20'000 * ms;
+  t.cold_from = 0.12;
+  Balancer b = knowing({"large", "small"}, t);
+  b.started = noon - 60'000 * ms;
+  b.arrivals.add(noon, 5000 * ms, 100);
+  for (auto& [id, s] : b.servers) s.kind = &b.kinds[id];
+  b.now = noon;
+  for (int i = 0; i < 100; ++i) {  // as long as kinds need to be known
+    b.now += 50 * ms;
+    answered(b, "large", 90 * ms, 3);
+    answered(b, "small", 180 * ms, 1);
+  }
+  const bool cold = GENERATE(false, true);
+  if (cold) b.servers["small"].line.started = b.now;
+  for (int i = 0; i < 20; ++i) {
+    b.now += 50 * ms;
+    answered(b, "small", cold ? 400 * ms : 180 * ms, 1);
+  }
+  CHECK(b.admitted(1) > 0.9);
+}
+
+TEST_CASE("a large server's room is what a calm pace holds there, not that and a least besides") {
+  Terms t = terms();
+  t.nodes = 17;
+  t.tiers = 2;
+  Balancer b = knowing({"large", "other"}, t);
+  b.servers["large"].line.size = 5;
+  b.started = noon - 60'000 * ms;
+  b.txn_taken(noon, "t", 0, -1, 1200 * ms, 0);
+  b.txns.clear();
+  Fading settled;
+  settled.add(noon, 5000 * ms, 30);  // six a second, at 0.1 s
+  for (int i = 0; i < 40; ++i) b.sample(b.servers["large"], true, 100 * ms, false);
+  const double least = 2 * (5.0 / 6) * 6 / 17 * 1.5;
+  CHECK(b.room(5.0 / 6, settled, 1) == Approx(1.8 * 6 * 0.1).epsilon(0.05));
+  CHECK(b.room(5.0 / 6, {}, 1) == Approx(least));
+}
