The test of the mean held asks for a txn that still earns

Cause: its second look came after the txn's SLA time, whose room is smaller, so it failed on the text that it is meant for. Change: the txn's SLA time is its expiry.

--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -182,10 +182,12 @@
     s.held_at = noon;
   }
   bool trial = false;
+  Txn t = txn(0);
+  t.sla = t.expiry;
   b.now = noon + ms;
-  CHECK(b.choose(txn(0), 500 * ms, trial) == nullptr);
+  CHECK(b.choose(t, 500 * ms, trial) == nullptr);
   b.now = noon + 1100 * ms;
-  CHECK(b.choose(txn(0), 500 * ms, trial) != nullptr);
+  CHECK(b.choose(t, 500 * ms, trial) != nullptr);
 }
 
 TEST_CASE("the mean held follows what is in flight") {
