--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -157,13 +157,14 @@
 
 // How many of this node's calls a server has room for. What answers at its calm pace has (settled a second) x
 // (calm latency) in flight; far more only wait, and a server kept crowded turns slow and stays so. The larger of
-// that and of a least, not their sum: the sum of all nodes filled large servers until they turned slow. Txns of
-// little value give way first. Inner tiers send what they get, paid for already, but pass such servers over.
+// that and of a least, not their sum: the sum of all nodes filled large servers until they turned slow. Where no
+// sizes are told, a server's part is a guess, and the sum stands. Txns of little value give way first. Inner
+// tiers send what they get, paid for already, but pass such servers over.
 double Balancer::room(double part, const Fading& settled, double worth) const {
   const double least = cores_guess * part * fleet_size / terms.nodes * (0.5 + worth);
   const double calm = (1 + room_factor / terms.tiers * worth) * settled.read(now, memory) / seen_for() *
                       (calm_ > 0 ? calm_ : double(typical()));
-  return std::max(least, calm);
+  return terms.sizes_told ? std::max(least, calm) : least + calm;
 }
 
 // What part of the txns one of many nodes lets in. Its own calls in flight are too few to limit what hundreds
@@ -182,7 +183,8 @@
 
 // A cold server gets credit at the pace at which this node sends to a warm one of its size, times its share
 // of warmth; at the best such pace of late, for a node that declines most would starve the cold servers that
-// could end its want. Credit starts at a random part of a call, so that the nodes' first calls do not come together.
+// could end its want. Credit starts at a random part of a call, so that the nodes' first calls do not come
+// together.
 bool Balancer::cold_allows(Server& s, double able) {
   const double share = cold_share(s);
   if (share >= 1) return true;
@@ -371,7 +373,8 @@
     all_fail = all_fail && s->failures >= failures_seen;
     // By the mean held, too: a room below one call would let every one of many nodes have one there.
     const double there = room(s->line.size / near.size, s->latency.count, worth);
-    if (terms.tier == 0 && (double(s->out.size()) >= std::max(1.0, there) || s->holds(now) >= there)) continue;
+    const bool crowded = double(s->out.size()) >= std::max(1.0, there) || s->holds(now) >= there;
+    if (terms.tier == 0 && crowded) continue;
     const bool again = !txn.postings.empty() && txn.postings.back().server == s;
     const double weight = capacity(*s) * part * (s->line.zone == terms.zone ? 1 : abroad());
     ranked.push_back({s, weight, likely(*s, left) - (again ? 1 : 0)});
