--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -156,10 +156,10 @@
 }
 
 // How many of this node's calls a server has room for. What answers at its calm pace has (settled a second) x
-// (calm latency) in flight; far more only wait, and a server kept crowded turns slow and stays so. The larger of
-// that and of a least, not their sum: the sum of all nodes filled large servers until they turned slow. Where no
-// sizes are told, a server's part is a guess, and the sum stands. Txns of little value give way first. Inner
-// tiers send what they get, paid for already, but pass such servers over.
+// (calm latency) in flight; far more only wait, and a server kept crowded turns slow and stays so. The larger
+// of that and of a least, not their sum: the sum of all nodes filled large servers until they turned slow.
+// Where no sizes are told, a server's part is a guess, and the sum stands. Txns of little value give way
+// first. Inner tiers send what they get, paid for already, but pass such servers over.
 double Balancer::room(double part, const Fading& settled, double worth) const {
   const double least = cores_guess * part * fleet_size / terms.nodes * (0.5 + worth);
   const double calm = (1 + room_factor / terms.tiers * worth) * settled.read(now, memory) / seen_for() *
