A newer version of the list that changes nothing moves the watch on

Cause: since versions are kept by src/asking, List::watch_on told only answers with entries, so a newer version without any would have been asked after again at once (held to some 13 calls a second by the pause). Change: whatever has another version is told. Result: a test that fails without it.

--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -164,7 +164,7 @@
     const auto news = co_await watch();
     if (!news) co_return;
     const auto before = versions_.known();
-    if (first || news->whole || !news->entries.empty() || news->version < before) told(*news, true);
+    if (first || news->whole || !news->entries.empty() || news->version != before) told(*news, true);
     if (versions_.after() == 0 && before > 0) {  // older: the whole list is asked for, as after any failure
       failed(fmt::format("version {} after {}", news->version, before));
       co_return;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -102,6 +102,17 @@
   CHECK(p.counters.list_empty == (empty ? 1 : 0));
 }
 
+TEST_CASE("a newer version that changes nothing moves the watch on") {
+  Following p;
+  StandIn a(p.io, fine);
+  p.discovery.first = {rev(4, true, entry("a", a.at())), rev(5, false, "")};
+  p.start();
+  p.run(30ms);
+  REQUIRE(p.discovery.got.size() == 3);
+  CHECK_THAT(p.discovery.got.back(), Contains("after=5&"));
+  CHECK_THAT(p.txn("t"), Contains("200 OK"));
+}
+
 TEST_CASE("a whole list again and again is not asked for as fast as it comes, and the watch goes on") {
   Following p;
   StandIn a(p.io, fine);
