Nothing goes to a server that an older whole list does not have

Cause, found on reading the change again: an older whole list's gaps were passed over until the next call, 0.5 to 1.5 s later, past the drain grace if versions are counted anew (List::told); and an empty older list was told as believed. Change: its gaps close the servers at the network's gate at once; the empty one is only told when it is taken.

--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -73,19 +73,20 @@
 void List::told(const News& news, bool asked) {
   const bool older = versions_.judge({news.version, news.whole}) == asking::taking::bad_news;
   if (older) ++counters_.list_older;
-  if (news.whole && news.entries.empty() && servers_.any()) {
+  if (!older && news.whole && news.entries.empty() && servers_.any()) {
     ++counters_.list_empty;
     log::warning(log::part::list, "the list says that no server is left: every txn is declined");
   }
   std::vector<Line> lines;
   std::unordered_set<std::string> servers;
   for (const auto& [line, at] : news.entries) {
+    servers.insert(line.server);
     if (older && line.state == standing::serving) continue;
     servers_.told(line.server, at, line.started, line.state == standing::gone);
     lines.push_back(line);
-    servers.insert(line.server);
   }
-  if (news.whole && !older) servers_.only(servers);
+  // Who is not in it may be gone for longer than the grace once it is known whether to believe it: nothing goes there.
+  if (news.whole) servers_.only(servers);
   if (facts_ && facts_->on() && !older) recall(news);
   desk_.list_told(lines, news.whole && !older, asked && !older);
 }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -87,6 +87,18 @@
   CHECK_THAT(p.discovery.got.back(), Contains("after=0&"));
 }
 
+TEST_CASE("nothing goes to a server that an older whole list does not have") {
+  Following p;
+  StandIn a(p.io, fine), b(p.io, fine);
+  p.discovery.first = {rev(41, true, entry("a", a.at()) + "," + entry("b", b.at())), rev(2, true, entry("a", a.at()))};
+  p.start();
+  p.run(30ms);
+  REQUIRE(p.counters.list_older == 1);
+  for (int i = 0; i < 6; ++i) CHECK_THAT(p.txn("t" + std::to_string(i)), Contains("200 OK"));
+  CHECK(b.got.empty());
+  CHECK(p.counters.list_empty == 0);
+}
+
 TEST_CASE("a list without a server that was just there, and an empty one, are kept to") {
   Following p;
   StandIn a(p.io, fine), b(p.io, fine);
