--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -54,6 +54,7 @@
   bool two_at_once = false;
   bool advice_heeded = false;
   int most_postings = 1;
+  int streams = 1;  // txns that a connection carries at once
   micros longest_advice = 0;
   micros ask_every = 0;
   micros cold_for = 0;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -33,6 +33,7 @@
 constexpr micros slow_memory = 30 * second, calm_memory = 300 * second;
 constexpr micros circle_time = 2 * second;  // between calls to each server that a node keeps to
 constexpr double least_circle = 6;          // servers
+constexpr double narrow = 4;  // where each server met holds a connection, the circle is so many times smaller
 constexpr micros pace = 20'000;  // between looks at what is held
 
 template <typename Ranked, typename Condition>
@@ -170,7 +171,7 @@
 // What part of the txns one of many nodes lets in. Its own calls in flight are too few to limit what hundreds
 // send, one each is a crowd already; so chance does, by how much slower than calm answers are.
 double Balancer::admitted(double worth) const {
-  const double may_take = calm_ > 0 ? (1 + 0.5 * worth) * calm_ / double(typical()) : 1;
+  const double may_take = terms.streams > 1 ? 1 : calm_ > 0 ? (1 + 0.5 * worth) * calm_ / double(typical()) : 1;
   return std::pow(std::min(1.0, may_take), 4 * (1 - 1 / std::sqrt(double(terms.nodes))));
 }
 
@@ -325,7 +326,9 @@
 // do. Where crossings are priced the servers at home have a ring of their own.
 Circle Balancer::circle() const {
   Circle found;
-  const double wanted = std::max(least_circle, arrivals.read(now, memory) / seen_for() * double(circle_time));
+  const bool shared = terms.streams > 1;
+  const double wanted = std::max(shared ? least_circle / 2 : least_circle,
+                                 arrivals.read(now, memory) / seen_for() * double(circle_time) / (shared ? narrow : 1));
   const double place = std::fmod(0.6180339887 * terms.me, 1.0);  // even for whichever part of the numbers
   for (const auto& ring : rings_) {
     double length = 0;
@@ -499,8 +502,8 @@
 // longer earn is called off where that costs little: a crowded fleet would answer late and nothing else.
 bool Balancer::give_up() {
   bool fired = false;
-  const bool call_off = terms.tier == 0 && terms.may_withdraw && now - short_of_room_ <= second &&
-                        terms.price_waste + terms.price_late <= call_off_price;
+  const bool call_off = terms.tier == 0 && terms.may_withdraw && (terms.streams > 1 || (now - short_of_room_ <= second &&
+                        terms.price_waste + terms.price_late <= call_off_price));
   for (auto& [id, t] : txns) {
     if (t.answered || t.streaming) continue;
     const bool late_out = call_off && earns_no_more(t) && may_decline(t);
--- a/src/read/house.cpp
+++ b/src/read/house.cpp
@@ -71,6 +71,7 @@
   t.two_at_once = flag(allow, "SecondCopies");
   t.advice_heeded = flag(allow, "RetryAfter");
   t.most_postings = int(number(allow, "MostPostings", 1));
+  t.streams = int(number(allow, "StreamsPerConn", 1));
   t.longest_advice = time_of(allow, "MaxRetryAfter", 0);
   t.ask_every = time_of(rules, "AskEvery", 10000);
   t.cold_for = time_of(rules, "Cold", 0);
