A repeat's SLA time by its mark and key; ties drawn by a txn's key where servers know keys

Keys were read by nothing, though a server that met one does 28 to 68 % less work. Change: a marked repeat takes the SLA time of the txn it repeats, known by scheme, tenant and key; where keys are warm the tied are drawn by the key's hash, two alike at every node.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -55,6 +55,8 @@
   bool advice_heeded = false;
   int most_postings = 1;
   int streams = 1;  // txns that a connection carries at once
+  bool repeats_marked = false;
+  bool warm_keys = false;  // servers do less work for a key that they met lately
   micros longest_advice = 0;
   micros ask_every = 0;
   micros cold_for = 0;
@@ -97,6 +99,11 @@
   micros come_back = 0;          // for clients that are declined; 0: by what answers take
 };
 
+struct Said {  // by the client, of its txn
+  bool repeat = false;
+  std::uint64_t key = 0;  // of what the txn is about; 0: none
+};
+
 enum class standing { serving, draining, gone };
 
 struct Line {
@@ -184,6 +191,7 @@
   Mean pace;             // and its own, against its kind's
   bool known = true;     // on the list as it stands
   micros told_off = -1;
+  std::uint32_t place = 0;  // on the ring
   Window window;
   std::vector<micros> out;  // when our postings in flight were sent
   int chosen_at = 0;        // the node's count of calls when it was last chosen or probed
@@ -228,6 +236,8 @@
 
 struct Txn {
   int scheme = 0;
+  int tenant = -1;
+  std::uint64_t key = 0;
   micros taken = 0;
   micros expiry = 0;
   micros sla = 0;  // the moment it ends
@@ -283,7 +293,7 @@
   Decisions list_told(micros now, const std::vector<Line>& lines, bool whole, bool asked = true);
   Decisions list_failed(micros now);
   Decisions txn_taken(micros now, const std::string& id, int scheme, int tenant, micros left, double cost,
-                      Allowed by_route = {});
+                      Allowed by_route = {}, Said said = {});
   Decisions posting_ended(micros now, const std::string& id, int n, ending how, micros lag, bool final,
                           const Report* report);
   Decisions stream_begun(micros now, const std::string& id, int n);
@@ -351,7 +361,7 @@
   bool plan_wake();
   void post(const std::string& id, Txn& txn, Server& server, bool trial);
   void answer(const std::string& id, Txn& txn, cause why);
-  void close(const std::string& id, Txn& txn);
+  void close(const std::string& id, Txn& txn, bool served);
   void start_anew(Server& server);
   void withdraw_but(const std::string& id, const Txn& txn, int kept);
   double part_of_one();
@@ -366,6 +376,12 @@
 
   double cold_share(const Server& server) const;
 
+  struct Unserved {  // whose repeat may come
+    int scheme, tenant;
+    std::uint64_t key;
+    micros sla;
+  };
+  std::deque<Unserved> unserved_;  // oldest first
   Decisions todo_;
   Mean at_home_, away_;  // parts of the usual latency
   std::array<std::vector<std::pair<std::uint32_t, Server*>>, 2>
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -28,12 +28,14 @@
 constexpr micros memory = 5 * second;  // of the fading sums
 constexpr double crossing_worth = 3;   // parts of latency at home that a point of a crossing's price is worth
 constexpr double call_off_price = 0.1;  // points of service a call-off may cost at the most
+constexpr double known_key = 0.6;       // of the work, where the key is known
 constexpr double crowded_home = 1.5;    // times the soonest foreseen
 constexpr double calm_samples = 20;     // the mean of fewer is no measure of calm
 constexpr micros slow_memory = 30 * second, calm_memory = 300 * second;
 constexpr micros circle_time = 2 * second;  // between calls to each server that a node keeps to
 constexpr double least_circle = 6;          // servers
 constexpr double narrow = 4;  // where each server met holds a connection, the circle is so many times smaller
+constexpr std::size_t most_unserved = 500;  // txns whose repeat may still come
 constexpr micros pace = 20'000;  // between looks at what is held
 
 template <typename Ranked, typename Condition>
@@ -41,6 +43,13 @@
   if (!std::all_of(ranked.begin(), ranked.end(), condition)) std::erase_if(ranked, condition);
 }
 
+// From 0 to under 1, the same at every node.
+double mixed(std::uint64_t x) {
+  x = (x ^ (x >> 31)) * 0x7fb5d329728ea185U;
+  x = (x ^ (x >> 27)) * 0x81dadef4bc2dd44dU;
+  return double((x ^ (x >> 33)) >> 11) / 9007199254740992.0;
+}
+
 bool lower(const Near& a, const Near& b) { return a.rank < b.rank; }
 
 }  // namespace
@@ -255,11 +264,15 @@
   const micros advice = txn.allowed.come_back > 0 ? txn.allowed.come_back : 2 * typical();
   todo_.finals.push_back(
       {id, declined, declined && terms.advice_heeded ? std::min(terms.longest_advice, advice) : 0, why});
-  close(id, txn);
+  close(id, txn, false);
 }
 
-void Balancer::close(const std::string& id, Txn& txn) {
+void Balancer::close(const std::string& id, Txn& txn, bool served) {
   txn.answered = true;
+  if (!served && terms.repeats_marked && terms.tier == 0) {
+    unserved_.push_back({txn.scheme, txn.tenant, txn.key, txn.sla});
+    if (unserved_.size() > most_unserved) unserved_.pop_front();
+  }
   withdraw_but(id, txn, -1);
 }
 
@@ -315,6 +328,7 @@
     if (!s.serving()) continue;
     std::uint32_t place = 2166136261U;
     for (const char c : id) place = (place ^ std::uint8_t(c)) * 16777619U;
+    s.place = place;
     rings_[terms.price_crossing > 0 && s.line.zone != terms.zone].emplace_back(place, &s);
   }
   for (auto& ring : rings_) std::sort(ring.begin(), ring.end());
@@ -409,16 +423,23 @@
       return r.server->line.zone == terms.zone && double(foreseen(*r.server)) > slow;
     });
   }
-  // Ties by capacity: a node of hundreds is not shown that the small are crowded. Of two drawn, the sooner.
-  double tied = 0;
-  for (const auto& r : ranked) tied += r.part;
-  const auto draw = [&] {
-    double left_over = tied * part_of_one();
-    const auto drawn = [&](const Near& r) { return (left_over -= r.part) < 0; };
-    return std::find_if(ranked.begin(), ranked.end() - 1, drawn)->server;
+  // Ties by capacity: a node of hundreds is not shown that the small are crowded. Of two drawn, the sooner. A key
+  // that servers know again draws the same two at every node, and stays with the first while that is not slow.
+  const bool keyed = terms.warm_keys && txn.key != 0;
+  const auto draw = [&](const Server* other) {
+    Near* first = nullptr;
+    double least = 0;
+    for (Near& r : ranked) {
+      const double u = keyed ? mixed(txn.key ^ r.server->place) : part_of_one();
+      const double turn = -std::log1p(-u) / std::max(1e-9, r.part);
+      if ((r.server == other && ranked.size() > 1) || (first && turn >= least)) continue;
+      first = &r;
+      least = turn;
+    }
+    return first->server;
   };
-  Server *const a = draw(), *const b = draw();
-  return foreseen(*b) < foreseen(*a) ? b : a;
+  Server *const a = draw(nullptr), *const b = draw(keyed ? a : nullptr);
+  return double(foreseen(*b)) < (keyed ? known_key : 1) * double(foreseen(*a)) ? b : a;
 }
 
 Decisions Balancer::run() {
@@ -610,7 +631,7 @@
 }
 
 Decisions Balancer::txn_taken(micros at, const std::string& id, int scheme, int tenant, micros left,
-                              double cost, Allowed by_route) {
+                              double cost, Allowed by_route, Said said) {
   now = at;
   Txn t;
   t.allowed = std::move(by_route);
@@ -621,13 +642,27 @@
   t.expiry = now + left;
   const scheme_row& row = terms.schemes[std::size_t(scheme)];
   t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
-  // Clients wait a part of the expiry for a first try, the same for all, and what is left of it for the last:
-  // the wait of most tries is the first's; another tells a repeat, whose SLA time ran from the first.
+  // A repeat's SLA time ran from its first try. Which that was a node knows that its clients come back to, by
+  // scheme, tenant and key. Else: clients wait a part of the expiry for a first try, the same for all, and what
+  // is left of it for the last; the wait of most tries is the first's, another tells a repeat.
   Seen& seen = seen_[std::size_t(scheme)];
+  const auto first = !said.repeat ? unserved_.end()
+                                  : std::find_if(unserved_.begin(), unserved_.end(), [&](const Unserved& u) {
+                                      return u.scheme == scheme && u.tenant == tenant && u.key == said.key;
+                                    });
   const bool usual = std::abs(left - seen.first_wait) <= left / 50;
-  seen.votes = std::min(50, seen.votes + (usual ? 1 : -1));
-  if (seen.votes < 0) seen = {left, 1, seen.latency, seen.earning};
-  if (terms.tier == 0 && left != seen.first_wait && !usual) t.sla -= row.expiry - left;
+  if (!said.repeat) {
+    seen.votes = std::min(50, seen.votes + (usual ? 1 : -1));
+    if (seen.votes < 0) seen = {left, 1, seen.latency, seen.earning};
+  }
+  if (first != unserved_.end()) {
+    t.sla = first->sla;
+    unserved_.erase(first);
+  } else if (terms.tier == 0 && !usual && (said.repeat || !terms.repeats_marked)) {
+    t.sla -= row.expiry - left;
+  }
+  t.tenant = tenant;
+  t.key = said.key;
   if (cost > 0) {  // a hint counts against the mean of the hints
     hints.take(now, memory, cost);
     t.cost = cost / hints.mean(cost);
@@ -679,7 +714,7 @@
     if (how == ending::settled) s.faults.erase(t.scheme), s.faults.erase(turned_away);
     if (how != ending::refused) sample(s, how == ending::settled, lag, p.trial);
   }
-  if (final && !t.answered) close(id, t);
+  if (final && !t.answered) close(id, t, how == ending::settled);
   return run();
 }
 
@@ -695,7 +730,7 @@
 
 Decisions Balancer::client_left(micros at, const std::string& id) {
   now = at;
-  if (const auto it = txns.find(id); it != txns.end() && !it->second.answered) close(id, it->second);
+  if (const auto it = txns.find(id); it != txns.end() && !it->second.answered) close(id, it->second, false);
   return run();
 }
 
--- a/src/read/house.cpp
+++ b/src/read/house.cpp
@@ -72,6 +72,8 @@
   t.advice_heeded = flag(allow, "RetryAfter");
   t.most_postings = int(number(allow, "MostPostings", 1));
   t.streams = int(number(allow, "StreamsPerConn", 1));
+  t.repeats_marked = flag(part("Callers"), "MarksRetry");
+  t.warm_keys = flag(part("FamilyInfo"), "WarmKeys");
   t.longest_advice = time_of(allow, "MaxRetryAfter", 0);
   t.ask_every = time_of(rules, "AskEvery", 10000);
   t.cold_for = time_of(rules, "Cold", 0);
@@ -103,6 +105,12 @@
   return line;
 }
 
+std::uint64_t key_of(std::string_view key) {
+  std::uint64_t hash = 14695981039346656037U;
+  for (const char c : key) hash = (hash ^ std::uint8_t(c)) * 1099511628211U;
+  return hash | 1;
+}
+
 void set_figure(Report& report, const std::string& name, double v) {
   if (name == "pending")
     report.waiting = v;
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -177,7 +177,11 @@
     }
     const int marks = find(e, "Marks") ? integer(*find(e, "Marks"), "Marks") : 0;
     const double cost = (marks & 1) != 0 ? number(e, "Predicted", 0) * 1000 : 0;
-    return b.txn_taken(now_, ticket(), known->second, tenant, time_of(e, "Grace"), cost);
+    Said said;
+    said.repeat = (marks & 2) != 0;
+    if (const value* key = find(e, "Entity"); key && key->IsString())
+      said.key = key_of({key->GetString(), key->GetStringLength()});
+    return b.txn_taken(now_, ticket(), known->second, tenant, time_of(e, "Grace"), cost, {}, said);
   }
   if (name_ == "Wakeup") {
     read::text(need(e, "Token"), "Token");
