Before a txn's first posting three servers are asked by probes, the least lag among the tied taken

Cause: servers report no load and a node's own calls (a few a second) tell it late. Change: windows hold latencies as at the usual lag, the table is read at the time left shortened by the lag now, rows within two fifths tie, the least lag among them is taken, a key's first server at 0.6 of it; a server just told has room; declined early by the pooled histogram.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -200,6 +200,10 @@
   bool on_trial = false;
   bool erring = false;  // its last txn ended in an error
   bool probing = false;
+  micros asked = 0;  // when, while a probe for its load is out
+  double told = 0;
+  micros told_at = 0;
+  Mean usual_told;
   std::map<int, Fault> faults;  // by scheme
   Mean latency, crowd;
   double cold_credit = 0;
@@ -232,6 +236,7 @@
   bool trial = false;
   bool ended = false;
   bool never_ran = false;
+  double pressed = 1;
 };
 
 struct Txn {
@@ -242,6 +247,7 @@
   micros expiry = 0;
   micros sla = 0;  // the moment it ends
   double cost = 1;
+  micros ready_at = 0;
   double luck = 0;  // from 0 to under 1, drawn once
   bool in_share = true;
   bool streaming = false;  // its answer has begun: the client's, without expiry
@@ -334,6 +340,11 @@
   micros foreseen(const Server& server) const;
   Server* choose(const Txn& txn, micros left, bool& trial);
   bool cold_allows(Server& server, double able);
+  double in_time(const Txn& txn, const Server& server) const;
+  double pressed(const Server& server) const;
+  bool fresh(const Server& server) const;
+  bool asking() const;
+  void ask(Txn& txn);
   bool unchosen(const Server& server, double circle_size) const;
   bool fails(const Server& server, int scheme) const;
   Circle circle() const;
@@ -342,7 +353,7 @@
   double admitted(double worth) const;
   double capacity(const Server& server) const;
   double room(double part, const Fading& settled, double worth) const;
-  void sample(Server& server, bool good, micros latency, bool trial);
+  void sample(Server& server, bool good, micros latency, bool trial, double pressed = 1);
 
  private:
   struct Seen {
@@ -383,6 +394,8 @@
   };
   std::deque<Unserved> unserved_;  // oldest first
   Decisions todo_;
+  Mean told_taken_;
+  std::array<double, 2> least_told_{};  // away, at home
   Mean at_home_, away_;  // parts of the usual latency
   std::array<std::vector<std::pair<std::uint32_t, Server*>>, 2>
       rings_;  // servers in service: at home, and elsewhere
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -36,6 +36,8 @@
 constexpr double least_circle = 6;          // servers
 constexpr double narrow = 4;  // where each server met holds a connection, the circle is so many times smaller
 constexpr std::size_t most_unserved = 500;  // txns whose repeat may still come
+constexpr micros told_for = 30'000, asked_for = 9'000;
+constexpr std::size_t asked_at_once = 3;
 constexpr micros pace = 20'000;  // between looks at what is held
 
 template <typename Ranked, typename Condition>
@@ -111,8 +113,9 @@
 // How the server's load now compares with its load when its samples were taken, by what this node can see:
 // its own calls in flight, the other nodes taken to do as this one did.
 double Balancer::crowding(const Server& s) const {
+  if (fresh(s)) return pressed(s);
   const double capacity = cores_guess * s.line.size, beside = s.crowd.mean(0);
-  const double others = double(terms.nodes - 1) * beside;
+  const double others = (terms.streams > 1 ? std::max(0.0, terms.nodes * 5.0 / std::max(1.0, fleet_size) - 1) : double(terms.nodes - 1)) * beside;
   return (capacity + double(s.out.size()) + others) / (capacity + beside + others);
 }
 
@@ -134,10 +137,10 @@
   return std::max(micros(mean * crowding(s)), oldest > 4 * usual ? oldest : 0);
 }
 
-void Balancer::sample(Server& s, bool good, micros latency, bool trial) {
+void Balancer::sample(Server& s, bool good, micros latency, bool trial, double pressed) {
   const micros usual = typical();
   if (good) {
-    s.latency.take(now, memory, double(latency));
+    s.latency.take(now, memory, double(latency) / pressed);
     // A few txns of many times the usual are no crowding: they would shrink the room of all others. A node of
     // few calls needs longer for a mean that says something.
     const auto life = std::max(memory, micros(1.5 * calm_samples * seen_for() / arrivals.read(now, memory)));
@@ -160,7 +163,7 @@
   // A window slides by trials alone too slowly to let a mended server back: a good trial starts it anew.
   if (trial && good && latency <= 3 * usual) start_anew(s);
   if (trial) s.wait_factor = good ? 1 : std::min(8, 2 * s.wait_factor);
-  s.window.take(good ? bin_of(latency) : bins - 1, window_length);
+  s.window.take(good ? bin_of(micros(double(latency) / pressed)) : bins - 1, window_length);
   // Fifty calls hide a few failures from the test: a run of them rebuilds untested, as trials do.
   if (trial || s.failures >= failures_seen || s.window.change() > ks_scale) build();
 }
@@ -288,11 +291,12 @@
   s.chosen_at = ++calls;
   s.on_trial = s.on_trial || trial;
   sent.add(now, memory, txn.cost);
+  if (fresh(s)) told_taken_.take(now, 2 * memory, s.told);
   if (!txn.postings.empty()) {
     repeats_sent.add(now, memory, 1);
     if (txn.allowed.spent) txn.allowed.spent->further.add(now, memory, 1);
   }
-  txn.postings.push_back({&s, now, int(s.out.size()), trial, false, false});
+  txn.postings.push_back({&s, now, int(s.out.size()), trial, false, false, fresh(s) ? pressed(s) : 1});
   s.holds(now);
   s.out.push_back(now);
   todo_.sends.push_back({id, s.line.server, txn.allowed.wait});
@@ -391,7 +395,7 @@
     // By the mean held, too: a room below one call would let every one of many nodes have one there.
     const double there = room(s->line.size / near.size, s->latency.count, worth);
     const bool crowded = double(s->out.size()) >= std::max(1.0, there) || s->holds(now) >= there;
-    if (terms.tier == 0 && crowded) continue;
+    if (terms.tier == 0 && crowded && !fresh(*s)) continue;
     const bool again = !txn.postings.empty() && txn.postings.back().server == s;
     const double weight = capacity(*s) * part * (s->line.zone == terms.zone ? 1 : abroad());
     ranked.push_back({s, weight, likely(*s, left) - (again ? 1 : 0)});
@@ -412,8 +416,23 @@
     return out > mean * r.server->line.size ||
            out > std::max(1.0, room(r.server->line.size / near.size, r.server->latency.count, 1));
   });
+  pass_over(ranked, [&](const Near& r) { return !fresh(*r.server); });
   const double best = std::max_element(ranked.begin(), ranked.end(), lower)->rank;
-  std::erase_if(ranked, [&](const Near& r) { return r.rank < best - 1.0 / window_length; });
+  const double tie = 20.0 / window_length;
+  const Server* keyed_first = nullptr;
+  if (terms.warm_keys && txn.key != 0) {
+    double least = 1e18;
+    for (const Near& r : ranked) {
+      const double turn = -std::log1p(-mixed(txn.key ^ r.server->place)) / std::max(1e-9, r.part);
+      if (turn < least) least = turn, keyed_first = r.server;
+    }
+  }
+  std::erase_if(ranked, [&](const Near& r) { return r.rank < best - tie; });
+  if (fresh(*ranked.front().server))
+    return std::min_element(ranked.begin(), ranked.end(), [&](const Near& a, const Near& b) {
+             return a.server->told * (a.server == keyed_first ? known_key : 1) <
+                    b.server->told * (b.server == keyed_first ? known_key : 1);
+           })->server;
   // Those at home that are crowded give way, whatever a crossing costs.
   if (terms.price_crossing > 0) {
     micros soonest = never;
@@ -442,6 +461,47 @@
   return double(foreseen(*b)) < (keyed ? known_key : 1) * double(foreseen(*a)) ? b : a;
 }
 
+// What part of all calls would have ended in the time that the txn has left, had they been of its scheme and met
+// the server as it is now.
+double Balancer::in_time(const Txn& txn, const Server& s) const {
+  const double of_scheme = seen_[std::size_t(txn.scheme)].latency.mean(double(typical())) / double(typical());
+  const int most = int(double(time_left(txn)) / pressed(s) / std::max(0.1, of_scheme) / double(bin_width));
+  const int all = std::accumulate(pooled.begin(), pooled.begin() + bins, 0);
+  const int good = std::accumulate(pooled.begin(), pooled.begin() + std::clamp(most + 1, 0, bins - 1), 0);
+  return all > 0 ? double(good) / all : 1;
+}
+
+// How much longer than usual calls take at a server, by the lag of a probe just now: not in proportion to it, as
+// a part of each call waits for nothing.
+double Balancer::pressed(const Server& s) const {
+  const double usual = std::max(1.0, told_taken_.mean(s.told));
+  return (usual + 2 * s.told) / (3 * usual);
+}
+
+bool Balancer::fresh(const Server& s) const { return s.told > 0 && now - s.told_at <= told_for; }
+
+bool Balancer::asking() const {
+  return std::any_of(servers.begin(), servers.end(), [&](const auto& e) {
+    return e.second.asked > 0 && now - e.second.asked < asked_for;
+  });
+}
+
+// Before its first posting some servers are asked how they are.
+void Balancer::ask(Txn& txn) {
+  if (!terms.may_probe || terms.tier > 0) return;
+  auto near = circle().servers;
+  std::erase_if(near, [&](const Near& n) { return n.server->failures >= failures_seen || n.server->probing; });
+  for (Near& n : near) n.rank = -std::log1p(-(terms.warm_keys && txn.key != 0 ? mixed(txn.key ^ n.server->place) : part_of_one())) / std::max(1e-9, n.part * capacity(*n.server) * (n.server->line.zone == terms.zone ? 1 : abroad()));
+  std::sort(near.begin(), near.end(), lower);
+  for (std::size_t i = 0; i < near.size() && i < asked_at_once; ++i) {
+    Server& s = *near[i].server;
+    txn.ready_at = now + asked_for;
+    if (s.asked > 0 || now - s.told_at < 12000) continue;
+    s.asked = now;
+    todo_.probes.push_back(s.line.server);
+  }
+}
+
 Decisions Balancer::run() {
   static constexpr std::array<rule, 6> rules = {&Balancer::ask_for_list,   &Balancer::give_up,
                                                 &Balancer::post_next,      &Balancer::copy_silent,
@@ -485,7 +545,7 @@
 bool Balancer::post_next() {
   std::vector<std::pair<const std::string, Txn>*> held;
   for (auto& entry : txns)
-    if (entry.second.held()) held.push_back(&entry);
+    if (entry.second.held() && (now >= entry.second.ready_at || !asking())) held.push_back(&entry);
   if (held.empty()) return false;
   const auto before = [&](const auto* a, const auto* b) {
     const double x = value(a->second), y = value(b->second);
@@ -497,10 +557,15 @@
     return true;
   }
   bool trial = false;
-  if (Server* s = choose(next, time_left(next), trial)) {
+  Server* const s = choose(next, time_left(next), trial);
+  if (s && !trial && next.postings.empty() && terms.may_probe && !fresh(*s) && now > next.ready_at + told_for) {
+    ask(next);
+    return true;
+  }
+  if (s) {
     // Held for no use, it would keep those behind it waiting; an idle server is tried all the same.
     if (terms.tier == 0 && !trial && next.postings.empty() && !s->out.empty() &&
-        double(foreseen(*s)) > (0.4 + 0.3 * value(next)) * double(time_left(next)))
+(terms.may_probe ? in_time(next, *s) < 0.97 - 0.1 * value(next) : double(foreseen(*s)) > (0.4 + 0.3 * value(next)) * double(time_left(next))))
       answer(id, next, cause::foreseen);
     else
       post(id, next, *s, trial);
@@ -564,7 +629,7 @@
   bool fired = false;
   const Circle near = circle();
   for (const auto& [s, part, none] : near.servers) {
-    if (s->probing || s->erring || !unchosen(*s, near.size)) continue;
+    if (s->probing || s->asked > 0 || s->erring || !unchosen(*s, near.size)) continue;
     s->probing = true;
     s->chosen_at = calls;
     todo_.probes.push_back(s->line.server);
@@ -579,7 +644,7 @@
   for (const auto& [id, t] : txns) {
     if (t.answered || t.streaming) continue;
     at = std::min(at, t.expiry);
-    if (t.out() == 0) at = std::min(at, now + pace);
+    if (t.out() == 0) at = std::min(at, t.ready_at > now ? t.ready_at : now + pace);
     if (t.sla > now) at = std::min(at, t.sla);
     if (terms.two_at_once && t.postings.size() == 1 && now < t.sla) {
       const micros due = t.postings[0].sent + long_silence(t);
@@ -675,6 +740,7 @@
     t.in_share = f.read(now, memory) < allowed;
     if (t.in_share) f.add(now, memory, 1);
   }
+  ask(t);
   txns.insert_or_assign(id, std::move(t));
   return run();
 }
@@ -712,7 +778,7 @@
     if ((s.erring || fault == turned_away) && !fails(s, fault))
       s.faults[fault] = {s.faults[fault].in_a_row + 1, now};
     if (how == ending::settled) s.faults.erase(t.scheme), s.faults.erase(turned_away);
-    if (how != ending::refused) sample(s, how == ending::settled, lag, p.trial);
+    if (how != ending::refused) sample(s, how == ending::settled, lag, p.trial, p.pressed);
   }
   if (final && !t.answered) close(id, t, how == ending::settled);
   return run();
@@ -736,6 +802,18 @@
 
 Decisions Balancer::probe_answered(micros at, const std::string& server, bool ok, micros lag, const Report*) {
   now = at;
+  if (const auto it = servers.find(server); it != servers.end() && it->second.asked > 0) {
+    Server& s = it->second;
+    s.asked = 0;
+    if (!ok && lag >= typical()) sample(s, false, lag, false);
+    if (!ok) return run();
+    double& least = least_told_[s.line.zone == terms.zone];
+    least = least > 0 ? std::min(least, double(lag)) : double(lag);
+    s.told = std::max(20.0, double(lag) - 0.8 * least);
+    s.told_at = now;
+    s.usual_told.take(now, memory, s.told);
+    return run();
+  }
   if (const auto it = servers.find(server); it != servers.end()) {
     Server& s = it->second;
     s.probing = false;
