New terms are taken on while the node runs, by SIGHUP, there and back; [deployment] in our file

Need: the move's switch in a running program, in both directions by one step. Change: Balancer::adopt keeps servers, windows (moved to the new bins) and calls in flight; a txn taken before ends by the stricter of both and lives to its expiry; what needs a new start is refused by name, a faulty file changes nothing; deployment.streams, repeats_marked and warm_keys in our file, checked, explained, at GET /config; Client-Retry is heard. Tests on loopback: 12 txns out, six of them once-only, over a switch, a refused one, a faulty file and two signals in a row: one answer each, none seen twice, no connection cut; the module's call alone.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -47,6 +47,7 @@
   micros expiry = 0;
   double revenue = 1;
   double late_revenue = 0;
+  bool operator==(const scheme_row&) const = default;
 };
 
 // The house's terms, read once at start.
@@ -77,6 +78,7 @@
   double tip_multiple = 1;
   micros tip_window = 0;
   double price_crossing = 0;
+  bool operator==(const Terms&) const = default;
 };
 
 // A sum that fades with time, brought up to date when it is read.
@@ -102,6 +104,8 @@
   group within = group::all;
   int postings = 1 << 30;
   micros wait = 0;  // of one posting for its answer; 0: until the client gives up
+  group known_in = group::all;   // where servers know its mark again, as told before
+  micros memory = micros(1) << 60;  // and for how long
   bool two_at_once = true;
   micros copy_after = 0;         // of silence, before a second copy; 0: by what answers take
   double further = -1;           // postings beyond the first, as a share of the route's txns; below 0: any
@@ -265,6 +269,7 @@
   bool in_share = true;
   bool streaming = false;  // its answer has begun: the client's, without expiry
   bool answered = false;
+  bool promised = false;  // taken under other terms: it lives to its expiry
   Allowed allowed;
   std::vector<Posting> postings;
   auto out() const {
@@ -340,6 +345,10 @@
     now = at;
     return run();
   }
+  // Other terms from now on, and back by the same step (src/adopt.cpp); terms that can't be taken on change nothing.
+  Decisions adopt(micros now, Terms next);
+  // What of them can't be while it runs, by the platform's names; empty if all can.
+  std::string bound_by(const Terms& next) const;
   Decisions woke(micros at) {
     now = at;
     if (wake_at_ <= now) wake_at_ = 0;
@@ -429,8 +438,9 @@
   bool keyed(const Txn& txn) const { return terms.warm_keys && txn.key != 0; }
   double value(const Txn& txn) const;
   bool earns_no_more(const Txn& txn) const {
-    return now >= txn.sla && terms.schemes[std::size_t(txn.scheme)].late_revenue <= 0;
+    return !txn.promised && now >= txn.sla && terms.schemes[std::size_t(txn.scheme)].late_revenue <= 0;
   }
+  void fit_bins();
   void weigh_schemes();
   static micros patience(const Txn& txn) { return (std::min(txn.sla, txn.expiry) - txn.taken) / 4; }
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -49,6 +49,11 @@
   tenants.resize(terms.allowances.size());
   seen_.resize(terms.schemes.size());
   weigh_schemes();
+  fit_bins();
+  list_calls_ = asking::Calls(terms.ask_every, now, part_of_one());  // in step they would crowd the list
+}
+
+void Balancer::fit_bins() {
   micros shortest = terms.schemes.empty() ? second : terms.schemes[0].sla, longest = shortest;
   for (const auto& s : terms.schemes) {
     shortest = std::min(shortest, s.sla);
@@ -56,8 +61,6 @@
   }
   bin_width = std::max<micros>(1, std::max(shortest / bins_per_sla, longest / (most_bins - 2) + 1));
   bins = int(longest / bin_width) + 2;
-  // Nodes that start in step would crowd the list: the first call comes at a time of the node's own.
-  list_calls_ = asking::Calls(terms.ask_every, now, part_of_one());
 }
 
 void Balancer::build() {
@@ -98,8 +101,8 @@
 double Balancer::likely(const Server& s, micros left) const {
   const double b = double(left) / crowding(s) / double(bin_width);
   const auto bin = std::size_t(std::clamp(b, 0.0, double(bins - 2)));
-  const micros long_ago = now - 4 * typical();
-  const auto silent = std::count_if(s.out.begin(), s.out.end(), [&](micros t) { return t < long_ago; });
+  const auto silent =
+      std::count_if(s.out.begin(), s.out.end(), [&](micros t) { return now - t > 4 * typical(); });
   const double size = std::max<double>(1, double(s.window.bins.size()));
   return (s.window.bins.empty() ? 1.0 : s.window.row[bin]) * size / (size + 3.0 * double(silent));
 }
@@ -187,7 +190,7 @@
   for (const Posting& p : txn.postings) {
     if (p.never_ran) continue;
     if (kind(txn) == repeats::once_only) return false;
-    if (now - p.sent >= row.memory - 10 * pace) return false;
+    if (now - p.sent >= std::min(row.memory, txn.allowed.memory) - 10 * pace) return false;
     if (within == group::zone && p.server->line.zone != s.line.zone) return false;
     if (within == group::cell && p.server->line.cell != s.line.cell) return false;
   }
@@ -196,8 +199,9 @@
 
 bool Balancer::may_decline(const Txn& txn) const {
   const scheme_row& row = terms.schemes[std::size_t(txn.scheme)];
-  const bool harmless = kind(txn) == repeats::referenced && row.within == group::all;
-  return kind(txn) == repeats::repeatable || harmless || txn.never_ran();
+  const bool harmless = std::max(row.within, txn.allowed.known_in) == group::all;
+  return kind(txn) == repeats::repeatable || (kind(txn) == repeats::referenced && harmless) ||
+         txn.never_ran();
 }
 
 bool Balancer::spares_another(const Txn& txn) const {
@@ -570,7 +574,7 @@
   return fired;
 }
 
-// Looked at again is what is held, every so often, and what is out when a rule may next act on it.
+// Looked at again: what is held, every so often; what is out, when a rule may next act on it.
 bool Balancer::plan_wake() {
   micros at = terms.ask_list ? list_calls_.next() : never;
   for (const auto& [id, t] : txns) {
--- a/src/config/explain.cpp
+++ b/src/config/explain.cpp
@@ -134,6 +134,15 @@
         cut(l.come_back.at, "MaxRetryAfter", duration(l.come_back.value)));
   else
     put("come_back", duration(l.come_back.value), line(l.come_back.at));
+  const Deployment& d = file.deployment;
+  out += "deployment\n";
+  const auto by = [&](At at, const char* term) {
+    return at.said() ? line(at) : fmt::format("the terms ({})", term);
+  };
+  const Terms in_force = applied(file, house).terms;
+  put("streams", std::to_string(in_force.streams), by(d.streams.at, "StreamsPerConn"));
+  put("repeats_marked", in_force.repeats_marked ? "yes" : "no", by(d.repeats_marked.at, "MarksRetry"));
+  put("warm_keys", in_force.warm_keys ? "yes" : "no", by(d.warm_keys.at, "WarmKeys"));
   return out;
 }
 
--- a/src/config/file.h
+++ b/src/config/file.h
@@ -55,12 +55,18 @@
   Told<int> retries;
 };
 
+struct Deployment {  // what the module reads of the shape of a deployment, where it is not as the platform says
+  Told<int> streams;  // txns that a connection carries at once
+  Told<bool> repeats_marked, warm_keys;
+};
+
 struct File {
   std::string path, hash;  // of its bytes, 16 hexadecimal digits
   Node node;
   Log log;
   Records records;
   Clients clients;
+  Deployment deployment;
   Limits defaults;
   std::vector<Route> routes;
 };
@@ -83,6 +89,9 @@
 // The routes in their order, that of [defaults] last. The file is one without faults.
 std::vector<limits::Route> routes(const File& file, const read::House& house);
 
+// The platform's terms with what the file says of the deployment in their place.
+read::House applied(const File& file, read::House house);
+
 std::string json(const Reading& reading);
 // Which route a txn meets, each limit in force and what set it. Names are the file's and the house's.
 struct Question {
--- a/src/config/read.cpp
+++ b/src/config/read.cpp
@@ -18,6 +18,7 @@
            {"log", [&](auto& n) { part(n, "log", log_keys()); }},
            {"records", [&](auto& n) { part(n, "records", records_keys()); }},
            {"clients", [&](auto& n) { part(n, "clients", clients_keys()); }},
+           {"deployment", [&](auto& n) { part(n, "deployment", deployment_keys()); }},
            {"defaults", [&](auto& n) { part(n, "defaults", limit_keys(r_.file.defaults, "defaults")); }},
            {"route", [&](auto& n) { routes(n); }}});
   }
@@ -68,6 +69,13 @@
             {"wait", time(c.wait, "clients.wait", 0)}};
   }
 
+  mapped deployment_keys() {
+    Deployment& d = r_.file.deployment;
+    return {{"streams", whole(d.streams, "deployment.streams", 1, 100'000)},
+            {"repeats_marked", flag(d.repeats_marked, "deployment.repeats_marked")},
+            {"warm_keys", flag(d.warm_keys, "deployment.warm_keys")}};
+  }
+
   mapped limit_keys(Limits& l, const std::string& where) {
     const auto key = [&](const char* name) { return in(where, name); };
     return {{"posting_timeout", time(l.posting_timeout, key("posting_timeout"))},
@@ -186,6 +194,14 @@
   return l;
 }
 
+read::House applied(const File& file, read::House house) {
+  const Deployment& d = file.deployment;
+  if (d.streams.said()) house.terms.streams = d.streams.value;
+  if (d.repeats_marked.said()) house.terms.repeats_marked = d.repeats_marked.value;
+  if (d.warm_keys.said()) house.terms.warm_keys = d.warm_keys.value;
+  return house;
+}
+
 Reading read(const std::string& path, std::string_view text) {
   Reading r;
   r.file.path = path;
--- a/src/node/boot.cpp
+++ b/src/node/boot.cpp
@@ -70,6 +70,7 @@
       above(double(h.terms.schemes[i].expiry), "Expiry");
     });
   above(h.terms.most_postings, "MostPostings");
+  above(h.terms.streams, "StreamsPerConn");
   above(double(h.dial_limit), "DialTimeout");
   above(double(h.keep_idle), "Keepalive");
 }
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -116,6 +116,7 @@
   if (kind == repeats::referenced ? !plain_word(m.header("Idempotency-Key")) : keys > 0)
     return bad(400, "Idempotency-Key is missing, not a plain word, or not for that Request-Class");
   a.cost = double(std::max(0LL, whole_number(m.header("Work-Hint"))));  // no more than a hint: else none
+  a.said.repeat = m.header("Client-Retry") == "1";
   a.outbound = outbound_of(m, kind == repeats::once_only);
   return a;
 }
@@ -334,7 +335,7 @@
   limits::Taken route = routes_.take({asked.scheme, asked.tenant, c->in.method(), c->in.target()}, clock_.now());
   c->in.let_go();
   const Desk::visit v = desk_.take(asked.id, asked.scheme, asked.tenant, clock_.of(c->arrived()), asked.left,
-                                   asked.cost, std::move(route));
+                                   asked.cost, std::move(route), asked.said);
   watch(c, v);
   std::vector<std::shared_ptr<Call>> calls;
   Order order;
--- a/src/node/clients.h
+++ b/src/node/clients.h
@@ -21,6 +21,7 @@
   std::string id;
   int scheme = -1, tenant = -1;
   micros left = 0;
+  Said said;
   double cost = 0;  // its work, in microseconds, where clients tell; else 0
   std::shared_ptr<const Outbound> outbound;
 };
--- a/src/node/counters.cpp
+++ b/src/node/counters.cpp
@@ -43,6 +43,8 @@
   put("limited_by_rate", limited_by_rate);
   put("config_accepted", config_accepted);
   put("config_refused", config_refused);
+  put("terms_switched", terms_switched);
+  put("terms_refused", terms_refused);
   put("records_dropped", records_dropped);
   put("exceptions", exceptions);
   return out;
--- a/src/node/counters.h
+++ b/src/node/counters.h
@@ -25,6 +25,7 @@
   count dials = 0, dials_failed = 0, reuses = 0, idle_closed = 0, idle_evicted = 0, no_room = 0;
   count list_calls = 0, list_failures = 0, list_news = 0, list_doubts = 0, list_older = 0, list_empty = 0, list_paced = 0;
   count limited_in_flight = 0, limited_by_rate = 0, config_accepted = 0, config_refused = 0, records_dropped = 0;
+  count terms_switched = 0, terms_refused = 0;
   count exceptions = 0;
 
   // One `name value` a line.
--- a/src/node/desk.cpp
+++ b/src/node/desk.cpp
@@ -24,7 +24,7 @@
 // whose SLA time ran from its first try, and a node that was held up for a few ms would decline what it had
 // to read late.
 Desk::visit Desk::take(const std::string& id, int scheme, int tenant, micros arrived, micros left,
-                       double cost, limits::Taken route) {
+                       double cost, limits::Taken route, Said said) {
   const visit v(new Visit(io_, id, arrived + left));
   v->place_ = std::move(route.place);
   visits_[id] = v;
@@ -36,7 +36,7 @@
     ++(pace ? counters_.limited_by_rate : counters_.limited_in_flight);
     facts_.limited(id, name, pace ? "rate" : "in_flight", route.allowed.come_back);
   }
-  carry_out(balancer_.txn_taken(arrived, id, scheme, tenant, left, cost, std::move(route.allowed)));
+  carry_out(balancer_.txn_taken(arrived, id, scheme, tenant, left, cost, std::move(route.allowed), said));
   if (ends_ > 0) clip();
   return v;
 }
@@ -65,6 +65,12 @@
   if (v->over_ && v->out_ == 0) visits_.erase(v->id);
 }
 
+std::string Desk::adopt(const Terms& next) {
+  std::string bound = balancer_.bound_by(next);
+  if (bound.empty()) carry_out(balancer_.adopt(clock_.now(), next));
+  return bound;
+}
+
 void Desk::leave(const visit& v) {
   if (v->over_) return;
   ++counters_.clients_left;
--- a/src/node/desk.h
+++ b/src/node/desk.h
@@ -55,9 +55,11 @@
   bool knows(const std::string& id) const { return visits_.contains(id); }
   // `arrived`: when its last byte came, from which the time left counts.
   visit take(const std::string& id, int scheme, int tenant, micros arrived, micros left, double cost,
-             limits::Taken route = {});
+             limits::Taken route = {}, Said said = {});
   awaitable<Order> pick(visit v);  // the next order; the last is a final answer or gone
   void report(const visit& v, int posting, ending how, micros lag, const Report* report);
+  // Other terms from now on; what can't be switched while the node runs, by name, and then nothing is.
+  std::string adopt(const Terms& next);
   void leave(const visit& v);  // the client has gone away
   void end_by(micros at);      // no txn may wait longer: the node ends
   awaitable<void> tick();      // runs as long as the node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -48,6 +48,7 @@
 // The stricter of the platform's and ours holds.
 Boot narrowed(Boot b, const std::optional<config::Reading>& ours) {
   if (!ours) return b;
+  b.house = config::applied(ours->file, std::move(b.house));
   const config::Node& n = ours->file.node;
   if (n.sockets.said()) b.most_sockets = std::min(b.most_sockets, sockets_for_peers(n.sockets.value));
   if (n.longest_answer.said()) b.most_answer = std::min(b.most_answer, n.longest_answer.value);
@@ -58,7 +59,8 @@
  public:
   Node(Boot b, const std::optional<config::Reading>& ours, std::string config, std::string terms,
        const environment& variable)
-      : boot_(narrowed(std::move(b), ours)),
+      : platform_(b.house),
+        boot_(narrowed(std::move(b), ours)),
         variable_(variable),
         config_(std::move(config)),
         terms_(std::move(terms)),
@@ -150,32 +152,64 @@
     }
   }
 
-  // A new configuration may move discovery, and a new file of ours the limits; all else holds until the next
-  // start. A faulty one changes nothing. The two stand for themselves: a fault in one does not hold up the other.
+  // The platform's file may move discovery and change the terms, ours the limits and the deployment. Terms are taken
+  // on whole or not at all: not under a faulty file of ours, nor where a part of them needs a new start.
   awaitable<void> read_when_renewed() {
     for (;;) {
       co_await renewals_.async_wait(asio::use_awaitable);
+      read::House wanted = platform_;
       try {
         const Boot renewed = boot_again(variable_, terms_);
         list_.move(renewed.discovery);
+        wanted = renewed.house;
         log::info(log::part::config, "{}: configuration read again, discovery at {}:{}", boot_.name,
                   renewed.discovery.address().to_string(), renewed.discovery.port());
+        if (renewed.name != boot_.name || renewed.listen != boot_.listen || renewed.seed != boot_.seed)
+          log::warning(log::part::config, "{}: name, listen and seed hold until the next start", boot_.name);
       } catch (const std::exception& faulty) {
         log::error(log::part::config, "{}: the new configuration is not used: {}", boot_.name, faulty.what());
       }
-      if (!config_.empty()) routes_.renew(co_await load_aside());
+      std::optional<config::Reading> ours;
+      if (!config_.empty()) ours = co_await load_aside(wanted);
+      if ((ours && !ours->good()) || switched(wanted, ours ? config::applied(ours->file, wanted) : wanted))
+        if (ours) routes_.renew(*ours);
     }
   }
 
+  bool switched(const read::House& platform, const read::House& wanted) {
+    const read::House& now = boot_.house;
+    std::string bound = wanted.schemes != now.schemes || wanted.tenants != now.tenants
+                            ? "the names or order of Schemes or Tenants"
+                        : wanted.dial_limit != now.dial_limit || wanted.keep_idle != now.keep_idle
+                            ? "DialTimeout or Keepalive"
+                            : "";
+    const bool same = wanted.terms == now.terms;
+    if (bound.empty() && !same) bound = desk_.adopt(wanted.terms);
+    if (!bound.empty()) {
+      ++counters_.terms_refused;
+      log::error(log::part::config, "{}: the new terms are not used, they need a new start: {}", boot_.name, bound);
+      return false;
+    }
+    platform_ = platform;
+    boot_.house = wanted;
+    if (!same) {
+      ++counters_.terms_switched;
+      log::info(log::part::config, "{}: new terms in force, {} txns a connection, {} nodes", boot_.name,
+                wanted.terms.streams, wanted.terms.nodes);
+    }
+    return true;
+  }
+
   // A long file, or one that is just being written, must not hold up the txns.
-  awaitable<config::Reading> load_aside() {
+  awaitable<config::Reading> load_aside(read::House house) {
     asio::thread_pool aside(1);
     co_return co_await asio::co_spawn(
-        aside, [this]() -> awaitable<config::Reading> { co_return config::load(config_, &boot_.house); },
+        aside, [this, &house]() -> awaitable<config::Reading> { co_return config::load(config_, &house); },
         asio::use_awaitable);
   }
 
-  Boot boot_;
+  read::House platform_;  // the platform's, as last taken
+  Boot boot_;             // its house: the terms in force, with ours in them
   const environment variable_;
   const std::string config_, terms_;
   Clock clock_;
--- a/src/node/routes.cpp
+++ b/src/node/routes.cpp
@@ -65,6 +65,17 @@
   out.StartObject();
   out.Key("version");
   out.Int(version_);
+  out.Key("deployment");
+  out.StartObject();
+  out.Key("streams");
+  out.Int(house_.terms.streams);
+  out.Key("repeats_marked");
+  out.Bool(house_.terms.repeats_marked);
+  out.Key("warm_keys");
+  out.Bool(house_.terms.warm_keys);
+  out.Key("nodes");
+  out.Int(house_.terms.nodes);
+  out.EndObject();
   if (version_ > 0) {
     string("file", path_);
     string("hash", hash_);
--- a/tests/commands_test.cpp
+++ b/tests/commands_test.cpp
@@ -166,3 +166,101 @@
   CHECK_THAT(story, Contains("records started configured-accepted configured-refused configured-accepted") &&
                         Contains("taken answered") && Contains("ended"));
 }
+
+namespace {
+
+// Answers every request after a while, and remembers which ids it has seen.
+struct SlowServer {
+  asio::io_context io;
+  tcp::acceptor acceptor{io, here};
+  std::map<std::string, int> seen;
+  int ended = 0;  // connections
+  std::thread loop;
+  SlowServer() {
+    asio::co_spawn(io, accept(), asio::detached);
+    loop = std::thread([this] { io.run(); });
+  }
+  ~SlowServer() {
+    io.stop();
+    loop.join();
+  }
+  asio::awaitable<void> accept() {
+    for (;;) asio::co_spawn(io, serve(co_await acceptor.async_accept(asio::use_awaitable)), asio::detached);
+  }
+  asio::awaitable<void> serve(tcp::socket s) {
+    std::string bytes;
+    for (asio::error_code error; !error;) {
+      const auto head = co_await asio::async_read_until(s, asio::dynamic_buffer(bytes), "\r\n\r\n",
+                                                        asio::redirect_error(asio::use_awaitable, error));
+      if (error) break;
+      const auto id = bytes.find("Request-Id: ") + 12;
+      ++seen[bytes.substr(id, bytes.find('\r', id) - id)];
+      bytes.erase(0, head);
+      asio::steady_timer wait(io, 300ms);
+      co_await wait.async_wait(asio::use_awaitable);
+      co_await asio::async_write(s, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")),
+                                 asio::redirect_error(asio::use_awaitable, error));
+    }
+    ++ended;
+  }
+};
+
+// The platform's file, with so many streams a connection and what else is said of the schemes.
+std::string platform(int port, int server, int streams, const std::string& more = "") {
+  return R"({"name":"n1","listen":"127.0.0.1:)" + std::to_string(port) +
+         R"(","discovery":"127.0.0.1:1","seed":"8c","known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":"127.0.0.1:)" +
+         std::to_string(server) + R"(","az":"","model":"m","pod_group":0,"state":"Ready","capacity_hint":8.0}]},)" +
+         R"("settings":{"Weights":"nominal","Schemes":[{"Name":"view","SlaTime":5000,"Expiry":6000},)" +
+         R"({"Name":"pay","Effect":"unsafe","SlaTime":5000,"Expiry":6000})" + more +
+         R"(],"Permissions":{"MostPostings":5,"Cancel":true,"StreamsPerConn":)" + std::to_string(streams) + "}}}";
+}
+
+}  // namespace
+
+TEST_CASE("terms switched there and back while txns are out: each has one answer, no server sees one twice") {
+  const Folder f;
+  SlowServer server;
+  const int port = free_port(), at = server.acceptor.local_endpoint().port();
+  const auto says = [&](int streams, const std::string& more = "") { f.write("n.json", platform(port, at, streams, more)); };
+  const auto count = [&](const char* name, int n) {
+    return soon([&] { return page(port, "/counters").find(std::string(name) + " " + std::to_string(n) + "\n") != std::string::npos; });
+  };
+  says(1);
+  const std::string ours = f.write("o.toml", "[node]\nterms = \"n.json\"\n");
+  const pid_t node = start(f, {"serve", "--config", ours});
+  REQUIRE(soon([&] { return page(port, "/config").find("\"streams\":1,") != std::string::npos; }));
+  std::vector<std::string> answers(12);
+  std::vector<std::thread> clients;
+  for (std::size_t i = 0; i < answers.size(); ++i)
+    clients.emplace_back([&, i] {
+      answers[i] = get(port, (i % 2 ? "POST" : "GET") + std::string(" /api HTTP/1.1\r\nHost: b\r\nRequest-Id: ") +
+                                 std::to_string(i) + "\r\nRequest-Class: " + (i % 2 ? "pay" : "view") +
+                                 "\r\nRequest-Timeout-Ms: 5000\r\n" + (i % 2 ? "Content-Length: 0\r\n" : "") + "\r\n");
+    });
+  CHECK(count("txns_taken", 12));
+  says(100);
+  ::kill(node, SIGHUP);
+  CHECK(count("terms_switched", 1));
+  CHECK_THAT(page(port, "/config"), Contains("\"streams\":100"));
+  says(100, R"(,{"Name":"new","SlaTime":1,"Expiry":1})");  // needs a new start
+  ::kill(node, SIGHUP);
+  CHECK(count("terms_refused", 1));
+  std::ofstream(ours) << "[node]\nterms = \"n.json\"\n[deployment]\nstreams = 0\n";  // faulty: the way back waits
+  says(1);
+  ::kill(node, SIGHUP);
+  CHECK(count("config_refused", 1));
+  CHECK_THAT(page(port, "/config"), Contains("\"streams\":100") && Contains("deployment.streams"));
+  std::ofstream(ours) << "[node]\nterms = \"n.json\"\n";
+  ::kill(node, SIGHUP);
+  ::kill(node, SIGHUP);
+  CHECK(count("terms_switched", 2));
+  CHECK_THAT(page(port, "/config"), Contains("\"streams\":1,"));
+  for (auto& c : clients) c.join();
+  for (const auto& a : answers) CHECK_THAT(a, Contains("HTTP/1.1 200") && Contains("ok"));
+  CHECK(server.seen.size() == 12);
+  for (const auto& [id, times] : server.seen) CHECK(times == 1);
+  CHECK(server.ended == 0);  // no connection was cut
+  CHECK_THAT(f.read("err"), Contains("they need a new start: the names or order of Schemes"));
+  ::kill(node, SIGTERM);
+  CHECK(ended(node) == 0);
+}
