--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -6,7 +6,6 @@
 #include <utility>
 
 namespace robinpin {
-
 namespace {
 
 constexpr int window_length = 50;      // W
--- a/src/config/explain.cpp
+++ b/src/config/explain.cpp
@@ -40,6 +40,13 @@
   out.Bool(reading.good());
   out.Key("routes");
   out.Uint64(reading.file.routes.size());
+  const Deployment& d = reading.file.deployment;
+  out.Key("deployment");  // what the file says itself
+  out.StartObject();
+  if (d.streams.said()) out.Key("streams"), out.Int(d.streams.value);
+  if (d.repeats_marked.said()) out.Key("repeats_marked"), out.Bool(d.repeats_marked.value);
+  if (d.warm_keys.said()) out.Key("warm_keys"), out.Bool(d.warm_keys.value);
+  out.EndObject();
   list("faults", reading.faults);
   list("notes", reading.notes);
   out.EndObject();
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -211,3 +211,16 @@
   CHECK_THAT(faults(config::load(path, nullptr)), Contains("can't be read"));
   CHECK_THAT(faults(config::load(folder.path, nullptr)), Contains("can't be read"));
 }
+
+TEST_CASE("what our file says of the deployment stands in place of the platform's, and each faulty word is told") {
+  read::House h;
+  h.terms.streams = 7;
+  h.terms.warm_keys = true;
+  const auto said = config::read("o.toml", "[deployment]\nstreams = 100\nwarm_keys = false\n");
+  REQUIRE(said.good());
+  const Terms t = config::applied(said.file, h).terms;
+  CHECK((t.streams == 100 && !t.warm_keys));
+  CHECK(config::applied(config::read("o.toml", "").file, h).terms == h.terms);
+  const auto faulty = config::read("o.toml", "[deployment]\nstreams = 0\nrepeats_marked = 1\nstream = 2\n");
+  CHECK(faulty.faults.size() == 3);
+}
