A node's further postings keep to the stated budget, counted in slots at the one gate

Change: the settings are read, txns taken and further postings tallied in slots of fixed number, the gate refuses what the budget lacks.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -77,6 +77,8 @@
   double cold_from = 1;
   double tip_multiple = 1;
   micros tip_window = 0;
+  micros resend_span = 0;  // in any such span a node may make free_resends further postings ...
+  double free_resends = 0, extra_share = 0;  // ... and this share of the txns that it took in it; 0: no such rule
   double price_crossing = 0;
   bool operator==(const Terms&) const = default;
 };
@@ -94,6 +96,34 @@
   }
 };
 
+// Txns taken and further postings over a span, in slots: its memory does not grow with traffic. The slot that the span
+// begins in counts for the postings and not for the txns, so that no edge of a slot lets one more through.
+struct Tally {
+  static constexpr std::int64_t slots = 32;
+  struct Slot {
+    std::int64_t number = -1;
+    int taken = 0, further = 0;
+  };
+  std::array<Slot, slots + 2> ring{};
+  static micros width(micros span) { return std::max<micros>(1, (span + slots - 1) / slots); }
+  Slot& at(micros now, micros span) {
+    const std::int64_t number = now / width(span);
+    Slot& slot = ring[std::size_t(number) % ring.size()];
+    if (slot.number != number) slot = {number};
+    return slot;
+  }
+  bool spares(micros now, const Terms& t) const {
+    if (t.resend_span <= 0) return true;
+    const std::int64_t oldest = std::max<micros>(0, now - t.resend_span) / width(t.resend_span);
+    int taken = 0, further = 1;
+    for (const Slot& s : ring) {
+      if (s.number >= oldest) further += s.further;
+      if (s.number > oldest) taken += s.taken;
+    }
+    return further <= t.free_resends + t.extra_share * taken;
+  }
+};
+
 struct Spent {  // by a route's txns of late
   Fading taken, further;
 };
@@ -365,6 +395,7 @@
   std::vector<Fading> tenants;
   Fading arrivals, sent, repeats_sent;
   Mean hints;
+  Tally tally;
   Mean told_taken;  // the lag told where postings went
   micros now = 0, bin_width = 1, started = 0;
   int bins = 1;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -8,33 +8,30 @@
 namespace robinpin {
 namespace {
 
-constexpr int window_length = 50;      // W
-constexpr double trial_after = 50;     // tp
-constexpr double fair_shares = 4;      // ... and so many times a server's fair share of the calls
-constexpr double ks_scale = 1.628;     // alpha 0.01
-constexpr double skip_factor = 2.0;    // over this many times the node's mean in flight: skipped
-constexpr int bins_per_sla = 25;       // h: the shortest SLA time in this many bins
-constexpr int pooled_samples = 10;     // a new server's window starts with so many
-constexpr int failures_seen = 2;       // in a row: rebuild without a test
-constexpr int turned_away = -1;        // no scheme: refused whatever its scheme
-constexpr double repeats_share = 0.1;  // further postings, of the txns taken
-constexpr double cores_guess = 2;      // calls a server works on side by side, where nothing tells
-constexpr double room_factor = 1.6;    // room beyond the calm load by a txn's value, over all tiers
+constexpr int window_length = 50;                    // W
+constexpr double trial_after = 50, fair_shares = 4;  // tp, and so many times a server's share of the calls
+constexpr double ks_scale = 1.628;                   // alpha 0.01
+constexpr double skip_factor = 2.0;  // over this many times the node's mean in flight: skipped
+constexpr int bins_per_sla = 25, pooled_samples = 10;  // h: bins of the shortest SLA time; of a new window
+constexpr int failures_seen = 2;                       // in a row: rebuild without a test
+constexpr int turned_away = -1;                        // no scheme: refused whatever its scheme
+constexpr double repeats_share = 0.1;                  // further postings, of the txns taken
+constexpr double cores_guess = 2;    // calls a server works on side by side, where nothing tells
+constexpr double room_factor = 1.6;  // room beyond the calm load by a txn's value, over all tiers
 constexpr micros second = 1'000'000, never = micros(1) << 60;
 constexpr double crossing_worth = 3;  // parts of latency at home that a point of a crossing's price is worth
-constexpr double known_key = 0.6;     // of the work, where the key is known
-constexpr double crowded_home = 1.5;  // times the soonest foreseen
-constexpr double calm_samples = 20;   // the mean of fewer is no measure of calm
+constexpr double known_key = 0.6, crowded_home = 1.5;  // of the lag told; times the soonest foreseen
+constexpr double calm_samples = 20;                    // the mean of fewer is no measure of calm
 constexpr micros slow_memory = 30 * second, calm_memory = 300 * second;
 constexpr micros circle_time = 2 * second;  // between calls to each server that a node keeps to
 constexpr double least_circle = 6;          // servers
 constexpr double narrow = 4;                // times less, where each server met keeps a connection
 constexpr std::size_t most_unserved = 500;  // txns whose repeat may still come
-constexpr micros asked_for = 9'000, just_told = 4'000;  // by a probe of a server's load
-constexpr std::size_t asked_at_once = 3;                // servers, before a txn's first posting
-constexpr double told_tie = 0.4;  // rows as close tie where probes tell: a txn's own luck is in them
-constexpr double surely = 0.97;   // of calls in time, at the lag told, less a tenth by value: else declined
-constexpr micros pace = 20'000;   // between looks at what is held
+constexpr micros asked_for = 9'000, just_told = 4'000;
+constexpr std::size_t asked_at_once = 3;  // servers, before a txn's first posting
+constexpr double told_tie = 0.4;          // rows as close tie where probes tell: a txn's own luck is in them
+constexpr double surely = 0.97;  // of calls in time, at the lag told, less a tenth by value: else declined
+constexpr micros pace = 20'000;  // between looks at what is held
 
 template <typename Ranked, typename Condition>
 void pass_over(Ranked& ranked, Condition condition) {
@@ -205,6 +202,7 @@
 
 bool Balancer::spares_another(const Txn& txn) const {
   const Allowed& a = txn.allowed;
+  if (!txn.postings.empty() && !tally.spares(now, terms)) return false;  // the budget of further postings
   if (txn.postings.empty() || a.further < 0 || !a.spent) return true;
   return a.further > 0 && a.spent->further.read(now, memory) <= a.further * a.spent->taken.read(now, memory);
 }
@@ -243,6 +241,7 @@
   if (s.told_lately(now)) told_taken.take(now, 2 * memory, s.told);
   if (!txn.postings.empty()) {
     repeats_sent.add(now, memory, 1);
+    ++tally.at(now, terms.resend_span).further;
     if (txn.allowed.spent) txn.allowed.spent->further.add(now, memory, 1);
   }
   txn.postings.push_back({&s, now, int(s.out.size()), trial, false, false, pressed(s)});
@@ -654,6 +653,7 @@
   if (cost > 0) hints.take(now, memory, cost);
   t.cost = cost > 0 ? cost / hints.mean(cost) : 1;  // a hint counts against the mean of the hints
   arrivals.add(now, memory, 1);
+  ++tally.at(now, terms.resend_span).taken;
   if (tenant >= 0 && terms.tier == 0) {
     Fading& f = tenants[std::size_t(tenant)];
     const double a_second = terms.allowances[std::size_t(tenant)] / terms.nodes;
--- a/src/read/house.cpp
+++ b/src/read/house.cpp
@@ -79,6 +79,9 @@
   t.cold_for = time_of(rules, "Cold", 0);
   t.cold_from = number(rules, "ColdFrom", 1);
   t.tip_multiple = number(rules, "TipMultiple", 1);
+  t.resend_span = time_of(rules, "ResendSpan", 0);
+  t.free_resends = number(rules, "FreeResends", 0);
+  t.extra_share = number(rules, "ExtraShare", 0);
   t.tip_window = time_of(rules, "OverloadFor", 0);
   t.price_crossing = number(prices, "CrossZone", 0);
   if (const value* names = find(stats, "Names"))
--- a/tests/gate_test.cpp
+++ b/tests/gate_test.cpp
@@ -157,3 +157,29 @@
   CHECK(d.wake_in != other.list_failed(noon).wake_in);
   CHECK(b.woke(noon + d.wake_in).list == list_call::watch);
 }
+
+TEST_CASE("further postings keep to a budget over any span, also just before and after the edge of one") {
+  Terms t = terms();
+  t.resend_span = 5000 * ms;
+  t.free_resends = 3;
+  t.extra_share = 0.1;
+  Balancer b = knowing({"a"}, t);
+  std::deque<micros> taken, further;
+  for (int i = 0; i < 6000; ++i) {  // a quiet start, a burst of txns, then none: all ask for a further posting
+    b.now = noon + i * 3 * ms;
+    if (i > 1000 && i < 2500) {
+      ++b.tally.at(b.now, t.resend_span).taken;
+      taken.push_back(b.now);
+    }
+    Txn again = txn(0);
+    again.postings = {posted(b, "a")};
+    if (b.spares_another(again)) {
+      ++b.tally.at(b.now, t.resend_span).further;
+      further.push_back(b.now);
+    }
+    while (!taken.empty() && taken.front() <= b.now - t.resend_span) taken.pop_front();
+    while (!further.empty() && further.front() < b.now - t.resend_span) further.pop_front();
+    REQUIRE(double(further.size()) <= 3 + 0.1 * double(taken.size()));
+  }
+  CHECK(further.size() == 3);
+}
