--- a/src/adopt.cpp
+++ b/src/adopt.cpp
@@ -34,6 +34,12 @@
   }
   const micros width = bin_width;
   const int overrun = bins - 1;
+  if (next.resend_span != terms.resend_span) {  // other slots: all that was posted further counts as posted now
+    int further = 0;
+    for (const auto& slot : tally.ring) further += slot.further;
+    tally = {};
+    tally.at(now, next.resend_span).further = further;
+  }
   terms = std::move(next);
   fit_bins();
   for (auto& [id, s] : servers) {
--- a/tests/adopt_test.cpp
+++ b/tests/adopt_test.cpp
@@ -77,3 +77,13 @@
   b.adopt(noon, other);
   CHECK(b.terms == terms());
 }
+
+TEST_CASE("a budget of further postings that comes with a switch counts those of before it") {
+  Balancer b = with_one_out(0);
+  b.tally.at(noon, 0).further = 3;
+  Terms budget = terms();
+  budget.resend_span = 5000 * ms;
+  budget.free_resends = GENERATE(3, 4);
+  b.adopt(noon, budget);
+  CHECK(b.spares_another(b.txns["t"]) == (budget.free_resends > 3));
+}
