Control listener, figures, settings by name at SIGHUP, a second process on the same socket

Change: src/node/control (seats of its own, the oldest without a whole call makes room), src/node/figures (Prometheus text; counted by final answer, pending and members asked of the state), schemes and tenants keep their numbers by name, a file is taken or turned down whole with discovery's address, the listening socket is inherited, closed and never shut down, processes count each other by locks in the shared folder and halve the descriptors. GET /counters on the clients' address is gone: /metrics has it.

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -430,6 +430,7 @@
   bool ready(const Txn& txn) const;
   bool unchosen(const Server& server, double circle_size) const;
   bool fails(const Server& server, int scheme) const;
+  bool avoids(const Server& server) const;  // gets no txns now but trials
   Circle circle() const;
   double abroad() const;
   void draw_rings();
--- a/src/adopt.cpp
+++ b/src/adopt.cpp
@@ -11,8 +11,8 @@
   const auto same = [&](bool is, const char* what) {
     if (!is) why += std::string(why.empty() ? "" : ", ") + what;
   };
-  same(next.schemes.size() == terms.schemes.size(), "the number of Schemes");
-  same(next.allowances.size() == terms.allowances.size(), "the number of Tenants");
+  same(next.schemes.size() >= terms.schemes.size(), "fewer rows of Schemes");  // numbers are kept: they only grow
+  same(next.allowances.size() >= terms.allowances.size(), "fewer rows of Tenants");
   same(next.tier == terms.tier && next.tiers == terms.tiers, "Tier or Stages");
   same(next.ask_list == terms.ask_list, "Discovery");
   same(next.ask_every == terms.ask_every, "Guarantees.AskEvery");
@@ -41,6 +41,9 @@
     tally.at(now, next.resend_span).further = further;
   }
   terms = std::move(next);
+  tenants.resize(terms.allowances.size());
+  seen_.resize(terms.schemes.size());
+  weigh_schemes();
   fit_bins();
   for (auto& [id, s] : servers) {
     const auto held = std::exchange(s.window.bins, {});
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -264,6 +264,10 @@
   return scheme != turned_away && fails(s, turned_away);
 }
 
+bool Balancer::avoids(const Server& s) const {
+  return !s.serving() || s.failures >= failures_seen || fails(s, turned_away);
+}
+
 // Time left to the SLA time, while it can be met; an answer after it earns nothing.
 micros Balancer::time_left(const Txn& txn) const {
   return (txn.sla > now ? std::min(txn.sla, txn.expiry) : txn.expiry) - now;
--- a/src/node/boot.cpp
+++ b/src/node/boot.cpp
@@ -8,6 +8,8 @@
 #include <fstream>
 #include <iterator>
 
+#include "control.h"
+
 namespace robinpin::node {
 
 namespace {
@@ -84,6 +86,38 @@
   return config;
 }
 
+void gather(const read::value& v, const std::string& path, Keys& keys) {
+  if (v.IsObject())
+    for (const auto& member : v.GetObject()) {
+      if (member.value.IsNull()) continue;
+      const std::string below = path.empty() ? member.name.GetString() : path + "." + member.name.GetString();
+      keys.insert(below);
+      gather(member.value, below, keys);
+    }
+  if (!v.IsArray() || v.Empty()) return;
+  Keys all;
+  for (rapidjson::SizeType i = 0; i < v.Size(); ++i) {
+    Keys one;
+    gather(v[i], path + "[]", one);
+    if (i == 0)
+      all = std::move(one);
+    else
+      std::erase_if(all, [&](const std::string& key) { return !one.contains(key); });
+  }
+  keys.merge(all);
+}
+
+Keys keys_in(const read::value& config) {
+  Keys keys;
+  for (const auto& member : config.GetObject()) {
+    const std::string_view name(member.name.GetString(), member.name.GetStringLength());
+    if (name == "known" || name == "seed" || member.value.IsNull()) continue;  // new with each start
+    keys.insert(std::string(name));
+    gather(member.value, std::string(name), keys);
+  }
+  return keys;
+}
+
 read::House house_in(const read::value& config) {
   const read::value& settings = read::object(read::need(config, "settings"), "settings");
   return read::inside("settings", [&] {
@@ -98,6 +132,8 @@
 
 }  // namespace
 
+Keys keys_of(const std::string& text) { return keys_in(parsed(text)); }
+
 read::House house_of(const std::string& text) { return house_in(parsed(text)); }
 
 std::string bytes_of(const std::string& path, const std::string& what) {
@@ -121,28 +157,47 @@
   b.name = told("EDGE_NAME", "name");
   b.listen = address("EDGE_LISTEN", "listen");
   b.discovery = address("EDGE_DISCOVERY", "discovery");
+  const char* at = variable("EDGE_CONTROL");
+  if ((at && *at) || read::find(config, "control")) b.control = address("EDGE_CONTROL", "control");
+  if (const char* fd = variable("EDGE_FD"); fd && *fd) {
+    b.inherited = int(std::min(whole_number(fd), 1LL << 20));
+    if (b.inherited < 0) read::wrong("EDGE_FD is no descriptor: " + std::string(fd));
+  }
   b.seed = seed_of(read::text(read::need(config, "seed"), "seed"));
-  b.most_sockets = sockets_of(config);
+  b.kept_back = kept_back + (b.control ? Control::descriptors : 0);
+  b.most_sockets = sockets_of(config) + kept_back - b.kept_back;
+  if (const char* folder = variable("TMPDIR"); b.inherited >= 0 && folder) b.folder = folder;
   b.most_answer = answer_of(config);
   if (const auto* known = read::find(config, "known"))
     b.known = read::inside("known", [&] { return news_of(*known); });
   b.house = house_in(config);
+  b.keys = keys_in(config);
   return b;
 }
 
-Boot boot(const environment& variable, const std::string& otherwise) {
+namespace {
+
+std::string bytes_told(const environment& variable, const std::string& otherwise) {
   const char* told = variable("EDGE_CONFIG");
   const std::string path = told && *told ? told : otherwise;
   if (path.empty()) read::wrong("EDGE_CONFIG is not set");
-  return boot_from(bytes_of(path, "EDGE_CONFIG"), variable);
+  return bytes_of(path, "EDGE_CONFIG");
+}
+
+}  // namespace
+
+Boot boot(const environment& variable, const std::string& otherwise) {
+  return boot_from(bytes_told(variable, otherwise), variable);
 }
 
-Boot boot_again(const environment& variable, const std::string& otherwise) {
-  return boot(
-      [&](const char* name) {
-        return std::string_view(name) == "EDGE_DISCOVERY" ? nullptr : variable(name);
-      },
-      otherwise);
+Boot boot_again(const environment& variable, const std::string& otherwise, const Keys& first) {
+  const std::string text = bytes_told(variable, otherwise);
+  Boot b = boot_from(text, [&](const char* name) {
+    return std::string_view(name) == "EDGE_DISCOVERY" ? nullptr : variable(name);
+  });
+  for (const std::string& key : first)
+    if (!b.keys.contains(key)) read::wrong("field " + key + " is missing");
+  return b;
 }
 
 }  // namespace robinpin::node
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -4,10 +4,9 @@
 
 #include <algorithm>
 #include <array>
-#include <stdexcept>
-#include <thread>
 
 #include "../log/log.h"
+#include "listening.h"
 
 namespace robinpin::node {
 
@@ -19,8 +18,9 @@
 constexpr steady::duration message_limit = 2500ms, idle_limit = 60s, crowded_idle_limit = 3s,
                            write_limit = 5s;
 constexpr steady::duration slow_sender = 300ms, fresh = 250ms, newcomer = 50ms, linger = 20ms;
-constexpr auto bind_limit = 5s;
 constexpr auto last_words = 500ms;
+// What a client sent on a connection that it held when its node was told to end is there after so long.
+constexpr auto crossing = 500ms;
 // After SIGTERM a node has the longest expiry, of this at the most, and then a little more for its last answers.
 constexpr micros longest_notice = 3'000'000, last_answers = 600'000;
 constexpr micros longest_wait = 3'600'000'000;
@@ -138,24 +138,14 @@
   sockets_.evict_by([this] { return evict(); });
 }
 
-void Clients::listen(tcp::endpoint at) {
-  acceptor_.open(at.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  // The node that had this address may just be ending.
-  asio::error_code taken;
-  const auto until = steady::now() + bind_limit;
-  while (acceptor_.bind(at, taken), taken == asio::error::address_in_use && steady::now() < until)
-    std::this_thread::sleep_for(20ms);
-  if (taken)
-    throw std::runtime_error(
-        fmt::format("listen: {}:{}: {}", at.address().to_string(), at.port(), taken.message()));
-  stamp_arrivals(acceptor_.native_handle());
-  acceptor_.listen(4096);
-  acceptor_.non_blocking(true);
+void Clients::listen(tcp::endpoint at, int inherited) {
+  inherited_ = inherited >= 0;
+  inherited_ ? listen_on(acceptor_, inherited) : listen_at(acceptor_, at, 4096);
 }
 
 awaitable<void> Clients::accept() {
   asio::steady_timer pause(io_);
+  taking_ = true;
   while (acceptor_.is_open()) {
     asio::error_code error;
     // Room for the txns' own postings stays free: of what is taken in, each needs one more socket.
@@ -220,15 +210,20 @@
 // restarting too: who has a connection is served for as long as the node is sure to live.
 awaitable<void> Clients::drain() {
   draining_ = true;
+  asio::error_code ignored;
+  // Another process takes who comes now: what was accepted is answered here, each answer the last of its connection.
+  if (inherited_) {
+    closing_ = true;
+    acceptor_.close(ignored);
+  }
   micros longest = 0;
   for (const auto& row : house_.terms.schemes) longest = std::max(longest, row.expiry);
   const micros last_taken = clock_.now() + std::min(longest, longest_notice), end = last_taken + last_answers;
   desk_.end_by(end);
   asio::steady_timer pause(io_);
-  pause.expires_at(clock_.at(last_taken));
+  pause.expires_at(inherited_ ? steady::now() + crossing : clock_.at(last_taken));
   co_await pause.async_wait(asio::use_awaitable);
   closing_ = true;
-  asio::error_code ignored;
   acceptor_.close(ignored);
   do {
     close_idle();
@@ -283,7 +278,7 @@
     got = co_await c->read(error);
     if (got == reading::unfinished) co_return false;
   }
-  s->what = doing::txn;
+  s->what = doing::page;
   c->no_limit();
   switch (got) {
     case reading::complete:
@@ -297,7 +292,7 @@
   }
   const std::string_view target = c->in.target();
   if (c->in.connects()) co_return co_await turn_down(c, s, 405, "no tunnels");
-  if (target.starts_with("/health/") || target == "/counters" || target == "/config")
+  if (target.starts_with("/health/") || target == "/config")
     co_return co_await own_page(c, s);
   co_return co_await txn(c, s);
 }
@@ -322,12 +317,11 @@
   const std::string_view target = c->in.target();
   constexpr std::string_view plain = "Content-Type: text/plain\r\n";
   if (c->in.method() != "GET") co_return co_await turn_down(c, s, 405, "only GET");
-  if (target == "/counters") co_return co_await answer(c, 200, plain, counters_.text());
   if (target == "/config")
     co_return co_await answer(c, 200, "Content-Type: application/json\r\n", routes_.told());
   if (target == "/health/live") co_return co_await answer(c, 200, plain, "live\n");
   if (target != "/health/ready") co_return co_await turn_down(c, s, 404, "no such page");
-  const bool ready = !draining_ && servers_.any();
+  const bool ready = takes() && servers_.any();
   co_return co_await answer(c, ready ? 200 : 503, plain, ready ? "ready\n" : "not ready\n");
 }
 
@@ -339,6 +333,7 @@
   c->in.let_go();
   const Desk::visit v = desk_.take(asked.id, asked.scheme, asked.tenant, clock_.of(c->arrived()), asked.left,
                                    asked.cost, std::move(route), asked.said);
+  s->what = doing::txn;
   watch(c, v);
   std::vector<std::shared_ptr<Call>> calls;
   Order order;
@@ -355,21 +350,22 @@
   }
   asio::error_code ignored;
   if (c->open()) c->socket.cancel(ignored);  // the watch
+  Ended& ended = counters_.ended(asked.scheme);
   switch (order.next) {
     case Order::what::settled: {
-      ++counters_.settled;
+      ++ended.settled;
       const Answer& a = calls[std::size_t(order.posting)]->answer;
       const std::string type = a.type.empty() ? "" : fmt::format("Content-Type: {}\r\n", a.type);
       co_return co_await answer(c, 200, type, a.body);
     }
     case Order::what::declined: {
-      ++counters_.declined;
+      ++ended.declined;
       const std::string advice =
           order.come_back > 0 ? fmt::format("Retry-After: {:.3f}\r\n", double(order.come_back) / 1e6) : "";
       co_return co_await answer(c, 503, advice, "declined\n");
     }
     case Order::what::reversed: {
-      ++counters_.reversed;
+      ++ended.reversed;
       co_return co_await answer(c, 502, "", "reversed\n");
     }
     default:
--- a/src/node/clients.h
+++ b/src/node/clients.h
@@ -1,6 +1,7 @@
 // The clients as peers: takes their txns in, asks the desk what to do with each, and answers.
 #pragma once
 
+#include <algorithm>
 #include <list>
 #include <memory>
 #include <string>
@@ -32,15 +33,20 @@
   Clients(asio::io_context& io, const Clock& clock, Sockets& sockets, Counters& counters, Desk& desk,
           Servers& servers, const read::House& house, const Routes& routes);
 
-  void listen(tcp::endpoint at);  // throws if it can't
+  // On the descriptor that the platform handed over, where there is one. Throws if it can't.
+  void listen(tcp::endpoint at, int inherited = -1);
   tcp::endpoint at() const { return acceptor_.local_endpoint(); }
   awaitable<void> accept();  // until drained
+  bool takes() const { return taking_ && !draining_; }
+  std::size_t pending() const {  // txns taken and not ended
+    return std::size_t(std::count_if(seats_.begin(), seats_.end(), [](const Seat& s) { return s.what == doing::txn; }));
+  }
   // From now on not ready; goes on serving for as long as the longest expiry, answers all, then returns.
   awaitable<void> drain();
 
  private:
   using connection = std::shared_ptr<Connection>;
-  enum class doing { arriving, nothing, reading, txn, leaving };
+  enum class doing { arriving, nothing, reading, page, txn, leaving };
   struct Seat {  // of an open connection
     std::weak_ptr<Connection> connection;
     doing what = doing::nothing;
@@ -74,7 +80,8 @@
   const Routes& routes_;
   tcp::acceptor acceptor_;
   std::list<Seat> seats_;  // the longest idle or reading first
-  bool draining_ = false, closing_ = false;
+  bool taking_ = false, draining_ = false, closing_ = false;
+  bool inherited_ = false;  // the listening socket: other processes have it too
 };
 
 }  // namespace robinpin::node
--- a/src/node/connection.h
+++ b/src/node/connection.h
@@ -37,6 +37,7 @@
   bool full() const { return open_ >= most_; }
   int open() const { return open_; }
   int most() const { return most_; }
+  void most(int n) { most_ = n; }
   Waits waits;
   // Closes the longest idle socket of a peer, if there is one.
   void evict_by(std::function<bool()> evict) { evictors_.push_back(std::move(evict)); }
--- a/src/node/counters.cpp
+++ b/src/node/counters.cpp
@@ -9,16 +9,24 @@
 
 std::string Counters::text() const {
   std::string out;
-  const auto put = [&](std::string_view name, count n) {
-    fmt::format_to(std::back_inserter(out), "{} {}\n", name, n);
-  };
+  const Ended sum = all();
+  const auto put = [&](std::string_view name, count n) { fmt::format_to(std::back_inserter(out), "{} {}\n", name, n); };
+  put("txns_settled", sum.settled);
+  put("txns_declined", sum.declined);
+  put("txns_reversed", sum.reversed);
+  put("postings_written", postings_written);
+  put("reloads", reloads);
+  put("reload_errors", reload_errors);
+  each(put);
+  return out;
+}
+
+// What the page of figures does not have under a name of its own.
+void Counters::each(const std::function<void(std::string_view, count)>& put) const {
   put("clients_accepted", clients_accepted);
   put("clients_evicted", clients_evicted);
   put("accepts_failed", accepts_failed);
   put("txns_taken", txns_taken);
-  put("txns_settled", settled);
-  put("txns_declined", declined);
-  put("txns_reversed", reversed);
   put("clients_left", clients_left);
   put("answers_broken", answers_broken);
   put("bad_requests", bad_requests);
@@ -47,7 +55,6 @@
   put("terms_refused", terms_refused);
   put("records_dropped", records_dropped);
   put("exceptions", exceptions);
-  return out;
 }
 
 }  // namespace robinpin::node
--- a/src/node/desk.cpp
+++ b/src/node/desk.cpp
@@ -1,5 +1,6 @@
 #include "desk.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace robinpin::node {
@@ -91,6 +92,18 @@
   carry_out(balancer_.woke(clock_.now()));
 }
 
+std::size_t Desk::members() const {
+  return std::size_t(std::count_if(balancer_.servers.begin(), balancer_.servers.end(), [](const auto& e) {
+    return e.second.known && e.second.line.state != standing::gone;
+  }));
+}
+
+std::size_t Desk::avoided() const {
+  return std::size_t(std::count_if(balancer_.servers.begin(), balancer_.servers.end(), [&](const auto& e) {
+    return e.second.known && e.second.line.state != standing::gone && balancer_.avoids(e.second);
+  }));
+}
+
 awaitable<void> Desk::tick() {
   for (;;) {
     asio::error_code moved;
--- a/src/node/desk.h
+++ b/src/node/desk.h
@@ -64,6 +64,9 @@
   void end_by(micros at);      // no txn may wait longer: the node ends
   awaitable<void> tick();      // runs as long as the node
 
+  std::size_t members() const;  // servers in the list
+  std::size_t avoided() const;  // of them, by the module now
+
   void want_list();  // without waiting until the module asks
   awaitable<void> list_wanted();
   void list_told(const std::vector<Line>& lines, bool whole, bool asked);
--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -71,6 +71,7 @@
       doubt_every_(doubt_every) {}
 
 void List::told(const News& news, bool asked) {
+  heard_ = heard_ || asked;
   const bool older = versions_.judge({news.version, news.whole}) == asking::taking::bad_news;
   if (older) ++counters_.list_older;
   if (!older && news.whole && news.entries.empty() && servers_.any()) {
--- a/src/node/list.h
+++ b/src/node/list.h
@@ -35,6 +35,7 @@
        tcp::endpoint at, steady::duration doubt_after = std::chrono::seconds(2),
        steady::duration doubt_every = std::chrono::seconds(10), records::Facts* facts = nullptr, std::uint32_t seed = 0);
   void told(const News& news, bool asked);
+  bool heard() const { return heard_; }  // from discovery, by this process
   awaitable<void> follow();  // runs as long as the node
   // From now on the list is told elsewhere: it is asked there at once, from the start.
   void move(tcp::endpoint to);
@@ -59,6 +60,7 @@
   asking::Versions versions_;
   asking::Pace pace_;
   std::mt19937 chance_;
+  bool heard_ = false;
   bool dropped_ = false;  // the call that was out, by us
   std::string why_;       // the last call failed
   log::Trouble trouble_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -5,12 +5,16 @@
 #include <exception>
 #include <filesystem>
 #include <optional>
+#include <utility>
 
 #include "../config/file.h"
 #include "../log/log.h"
 #include "clients.h"
+#include "control.h"
+#include "figures.h"
 #include "list.h"
 #include "routes.h"
+#include "twins.h"
 
 namespace robinpin::node {
 namespace {
@@ -38,13 +42,6 @@
   return {said.path.value, said.rotate_at.value, said.keep.value, std::size_t(said.queue.value), said.flush.value};
 }
 
-std::vector<std::string> by_number(const std::unordered_map<std::string, int>& names) {
-  std::vector<std::string> found(names.size());
-  for (const auto& [name, i] : names)
-    if (std::size_t(i) < found.size()) found[std::size_t(i)] = name;
-  return found;
-}
-
 // The stricter of the platform's and ours holds.
 Boot narrowed(Boot b, const std::optional<config::Reading>& ours) {
   if (!ours) return b;
@@ -64,6 +61,7 @@
         variable_(variable),
         config_(std::move(config)),
         terms_(std::move(terms)),
+        twins_(boot_.folder),
         facts_(ours && ours->file.records.path.said() ? kept(ours->file.records) : records::Facts()),
         sockets_(boot_.most_sockets),
         routes_(boot_.house, counters_, facts_),
@@ -72,10 +70,11 @@
         list_(io_, sockets_, counters_, desk_, servers_, boot_.discovery, std::chrono::seconds(2),
               std::chrono::microseconds(boot_.house.terms.ask_every), &facts_, boot_.seed),
         clients_(io_, clock_, sockets_, counters_, desk_, servers_, boot_.house, routes_),
+        control_(io_, {[this] { return clients_.takes(); }, [this] { return metrics(); }}),
         ends_(io_, SIGTERM, SIGINT),
         asks_(io_, SIGUSR1),
         renewals_(io_, SIGHUP) {
-    facts_.names(by_number(boot_.house.schemes), by_number(boot_.house.tenants));
+    facts_.names(boot_.house.scheme_names, boot_.house.tenant_names);
     facts_.started(boot_.name, boot_.house.terms.tier);
     if (ours) routes_.renew(*ours);
   }
@@ -83,11 +82,16 @@
   void run() {
     list_.told(boot_.known, false);
     servers_.when_unreachable([this] { list_.doubt(); });
-    clients_.listen(boot_.listen);
+    clients_.listen(boot_.listen, boot_.inherited);
+    if (boot_.control) {
+      control_.listen(*boot_.control);
+      spawn([this] { return control_.accept(); });
+    }
     spawn([this] { return desk_.tick(); });
     spawn([this] { return servers_.sweep(); });
     spawn([this] { return list_.follow(); });
-    spawn([this] { return clients_.accept(); });
+    spawn([this] { return twins_.alive() > 1 ? take_over() : clients_.accept(); });
+    if (boot_.inherited >= 0) spawn([this] { return share(); });
     spawn([this] { return await_end(); });
     spawn([this] { return print_when_asked(); });
     spawn([this] { return read_when_renewed(); });
@@ -134,6 +138,35 @@
     io_.stop();
   }
 
+  // A process that starts while another serves takes clients once it has heard the list, which that one follows since
+  // long, or when there is no more time to wait for it.
+  awaitable<void> take_over() {
+    asio::steady_timer pause(io_);
+    const auto until = steady::now() + std::chrono::milliseconds(4500);
+    desk_.want_list();
+    for (const auto least = steady::now() + 2 * look; steady::now() < least || (!list_.heard() && steady::now() < until);) {
+      pause.expires_after(std::chrono::milliseconds(10));
+      co_await pause.async_wait(asio::use_awaitable);
+    }
+    log::info(log::part::node, "{}: takes over, {}", boot_.name,
+              list_.heard() ? "the list is heard" : "the list is not heard yet");
+    co_await clients_.accept();
+  }
+
+  // Two processes keep to the descriptors of one.
+  awaitable<void> share() {
+    asio::steady_timer pause(io_);
+    for (int before = 1;;) {
+      const int n = twins_.alive();
+      if (n != before) log::info(log::part::node, "{}: {} process{} of this node", boot_.name, n, n == 1 ? "" : "es");
+      before = n;
+      sockets_.most(std::max(least_share, (boot_.most_sockets + boot_.kept_back) / n - boot_.kept_back));
+      sockets_.make_room();
+      pause.expires_after(look);
+      co_await pause.async_wait(asio::use_awaitable);
+    }
+  }
+
   awaitable<void> print_when_asked() {
     for (;;) {
       co_await asks_.async_wait(asio::use_awaitable);
@@ -142,6 +175,11 @@
     }
   }
 
+  std::string metrics() {
+    counters_.records_dropped = facts_.dropped();
+    return figures(counters_, boot_.house.scheme_names, {clients_.pending(), desk_.members(), desk_.avoided()});
+  }
+
   awaitable<void> tell_folded() {
     asio::steady_timer timer(io_);
     for (;;) {
@@ -152,46 +190,52 @@
     }
   }
 
-  // The platform's file may move discovery and change the terms, ours the limits and the deployment. Terms are taken
-  // on whole or not at all: not under a faulty file of ours, nor where a part of them needs a new start.
+  // The platform's file may move discovery and change the terms, ours the limits and the deployment. They are taken on
+  // whole or not at all: not under a faulty file of ours, nor where a part of them needs a new start.
   awaitable<void> read_when_renewed() {
     for (;;) {
       co_await renewals_.async_wait(asio::use_awaitable);
+      std::optional<Boot> renewed;
       read::House wanted = platform_;
       try {
-        const Boot renewed = boot_again(variable_, terms_);
-        list_.move(renewed.discovery);
-        wanted = renewed.house;
-        log::info(log::part::config, "{}: configuration read again, discovery at {}:{}", boot_.name,
-                  renewed.discovery.address().to_string(), renewed.discovery.port());
-        if (renewed.name != boot_.name || renewed.listen != boot_.listen || renewed.seed != boot_.seed)
-          log::warning(log::part::config, "{}: name, listen and seed hold until the next start", boot_.name);
+        renewed = boot_again(variable_, terms_, boot_.keys);
+        wanted = read::renumbered(renewed->house, platform_);
       } catch (const std::exception& faulty) {
+        renewed.reset();
         log::error(log::part::config, "{}: the new configuration is not used: {}", boot_.name, faulty.what());
       }
       std::optional<config::Reading> ours;
       if (!config_.empty()) ours = co_await load_aside(wanted);
-      if ((ours && !ours->good()) || switched(wanted, ours ? config::applied(ours->file, wanted) : wanted))
-        if (ours) routes_.renew(*ours);
+      bool taken = renewed.has_value();
+      if ((ours && !ours->good()) || switched(wanted, ours ? config::applied(ours->file, wanted) : wanted)) {
+        if (ours) taken = routes_.renew(*ours) && taken;
+      } else {
+        taken = false;
+      }
+      ++(taken ? counters_.reloads : counters_.reload_errors);
+      if (!taken) continue;
+      list_.move(renewed->discovery);
+      log::info(log::part::config, "{}: configuration read again, discovery at {}:{}", boot_.name,
+                renewed->discovery.address().to_string(), renewed->discovery.port());
+      if (renewed->name != boot_.name || renewed->listen != boot_.listen || renewed->seed != boot_.seed)
+        log::warning(log::part::config, "{}: name, listen and seed hold until the next start", boot_.name);
     }
   }
 
   bool switched(const read::House& platform, const read::House& wanted) {
-    const read::House& now = boot_.house;
-    std::string bound = wanted.schemes != now.schemes || wanted.tenants != now.tenants
-                            ? "the names or order of Schemes or Tenants"
-                        : wanted.dial_limit != now.dial_limit || wanted.keep_idle != now.keep_idle
-                            ? "DialTimeout or Keepalive"
-                            : "";
-    const bool same = wanted.terms == now.terms;
-    if (bound.empty() && !same) bound = desk_.adopt(wanted.terms);
+    const bool same = wanted.terms == boot_.house.terms;
+    const std::string bound = same ? "" : desk_.adopt(wanted.terms);
     if (!bound.empty()) {
       ++counters_.terms_refused;
       log::error(log::part::config, "{}: the new terms are not used, they need a new start: {}", boot_.name, bound);
       return false;
     }
     platform_ = platform;
-    boot_.house = wanted;
+    const auto before = std::exchange(boot_.house, wanted);
+    // What a client sent under the old file is still taken in its scheme.
+    for (const auto& [name, number] : before.schemes)
+      if (boot_.house.schemes.emplace(name, number).second) spawn([this, name = name] { return close_scheme(name); });
+    facts_.names(boot_.house.scheme_names, boot_.house.tenant_names);
     if (!same) {
       ++counters_.terms_switched;
       log::info(log::part::config, "{}: new terms in force, {} txns a connection, {} nodes", boot_.name,
@@ -200,6 +244,12 @@
     return true;
   }
 
+  awaitable<void> close_scheme(std::string name) {
+    asio::steady_timer pause(io_, std::chrono::seconds(1));
+    co_await pause.async_wait(asio::use_awaitable);
+    if (!platform_.schemes.contains(name)) boot_.house.schemes.erase(name);
+  }
+
   // A long file, or one that is just being written, must not hold up the txns.
   awaitable<config::Reading> load_aside(read::House house) {
     asio::thread_pool aside(1);
@@ -208,12 +258,16 @@
         asio::use_awaitable);
   }
 
+  static constexpr auto look = std::chrono::milliseconds(100);  // for other processes
+  static constexpr int least_share = 16;                         // of descriptors
+
   read::House platform_;  // the platform's, as last taken
   Boot boot_;             // its house: the terms in force, with ours in them
   const environment variable_;
   const std::string config_, terms_;
   Clock clock_;
   Counters counters_;
+  const Twins twins_;
   records::Facts facts_;
   Sockets sockets_;  // outlives what io_ still holds at the end
   Routes routes_;
@@ -222,6 +276,7 @@
   Servers servers_;
   List list_;
   Clients clients_;
+  Control control_;
   asio::signal_set ends_, asks_, renewals_;
 };
 
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -49,7 +49,6 @@
       counters_(counters),
       house_(house),
       most_answer_(most_answer) {
-  keep_for_ = house.keep_idle / 2;
   sockets_.evict_by([this] { return evict(); });
 }
 
@@ -73,7 +72,7 @@
   while (!peer.idle.empty()) {
     auto c = std::move(peer.idle.back());
     peer.idle.pop_back();
-    const bool fresh = steady::now() - c->idle_since < std::chrono::microseconds(keep_for_);
+    const bool fresh = steady::now() - c->idle_since < keep_for();
     if (fresh && c->quiet()) return c;
     ++counters_.idle_closed;
   }
@@ -122,7 +121,7 @@
   for (;;) {
     timer.expires_after(std::chrono::seconds(1));
     co_await timer.async_wait(asio::use_awaitable);
-    const auto old = steady::now() - std::chrono::microseconds(keep_for_);
+    const auto old = steady::now() - keep_for();
     for (auto& [uid, p] : peers_)
       for (; !p.idle.empty() && p.idle.front()->idle_since < old; ++counters_.idle_closed) p.idle.pop_front();
   }
@@ -174,7 +173,10 @@
                                        outbound.start, outbound.headers, left / 1000, outbound.body.size());
   std::size_t written = 0;
   const auto broken = co_await send(c, outbound, head, written);
-  if (written == head.size() + outbound.body.size()) a.came = how_far::written;
+  if (written == head.size() + outbound.body.size()) {
+    a.came = how_far::written;
+    ++counters_.postings_written;
+  }
   if (broken || call.withdrawn) co_return;
   asio::error_code error;
   reading got = co_await c.read(error);
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -83,7 +83,7 @@
   Sockets& sockets_;
   Counters& counters_;
   const read::House& house_;
-  micros keep_for_;
+  std::chrono::microseconds keep_for() const { return std::chrono::microseconds(house_.keep_idle / 2); }
   std::size_t most_answer_;  // bytes of a body
   std::unordered_map<std::string, Peer> peers_;
   std::function<void()> unreachable_;
--- a/src/read/house.cpp
+++ b/src/read/house.cpp
@@ -35,19 +35,58 @@
   return row;
 }
 
+// Of whole things, as far as an int goes; what is no number above 0 the node tells where it checks.
+int count_of(const value& o, const char* name) {
+  const double n = number(o, name, 1);
+  if (!(n < 1e9)) wrong(std::string(name) + " is too large");
+  return int(std::max(-1.0, n));
+}
+
+void named(std::unordered_map<std::string, int>& numbers, std::vector<std::string>& names, const std::string& name) {
+  if (!numbers.emplace(name, int(names.size())).second) wrong("Name " + name + " stands twice");
+  names.push_back(name);
+}
+
+template <typename Row>
+void renumber(std::unordered_map<std::string, int>& numbers, std::vector<std::string>& names, std::vector<Row>& rows,
+              const std::vector<std::string>& names_now, const std::vector<Row>& rows_now) {
+  const auto read = std::exchange(names, names_now);
+  const auto rows_read = std::exchange(rows, rows_now);
+  for (std::size_t i = 0; i < read.size(); ++i) {
+    const auto n = std::size_t(std::find(names.begin(), names.end(), read[i]) - names.begin());
+    if (n == names.size()) {
+      names.push_back(read[i]);
+      rows.emplace_back();
+    }
+    rows[n] = rows_read[i];
+    numbers[read[i]] = int(n);
+  }
+  if (names.size() > most_names) wrong("more than " + std::to_string(most_names) + " names since the start");
+}
+
 }  // namespace
 
+House renumbered(House next, const House& now) {
+  inside("Schemes", [&] {
+    renumber(next.schemes, next.scheme_names, next.terms.schemes, now.scheme_names, now.terms.schemes);
+  });
+  inside("Tenants", [&] {
+    renumber(next.tenants, next.tenant_names, next.terms.allowances, now.tenant_names, now.terms.allowances);
+  });
+  return next;
+}
+
 House house(const value& c) {
   House h;
   Terms& t = h.terms;
   each(need(c, "Schemes"), "Schemes", [&](const value& s) {
     t.schemes.push_back(scheme_of(s));
-    h.schemes[text(need(s, "Name"), "Name")] = int(t.schemes.size()) - 1;
+    named(h.schemes, h.scheme_names, text(need(s, "Name"), "Name"));
   });
   if (const value* list = find(c, "Tenants"))
     each(*list, "Tenants", [&](const value& s) {
       t.allowances.push_back(number(object(s, "Tenants entry"), "AllowancePerS", 0));
-      h.tenants[text(need(s, "Name"), "Name")] = int(t.allowances.size()) - 1;
+      named(h.tenants, h.tenant_names, text(need(s, "Name"), "Name"));
     });
   const value nothing(rapidjson::kObjectType);
   const auto part = [&](const char* name) -> const value& {
@@ -70,8 +109,8 @@
   t.may_withdraw = flag(allow, "Cancel");
   t.two_at_once = flag(allow, "SecondCopies");
   t.advice_heeded = flag(allow, "RetryAfter");
-  t.most_postings = int(number(allow, "MostPostings", 1));
-  t.streams = int(number(allow, "StreamsPerConn", 1));
+  t.most_postings = count_of(allow, "MostPostings");
+  t.streams = count_of(allow, "StreamsPerConn");
   t.repeats_marked = flag(part("Callers"), "MarksRetry");
   t.warm_keys = flag(part("FamilyInfo"), "WarmKeys");
   t.longest_advice = time_of(allow, "MaxRetryAfter", 0);
--- a/tests/boot_test.cpp
+++ b/tests/boot_test.cpp
@@ -66,6 +66,9 @@
       {with("\"Expiry\":1200.0", "\"Expiry\":0"), "settings: Schemes[0]: Expiry"},
       {with("\"safe\"", "\"odd\""), "settings: Schemes[0]: Effect"},
       {with("\"MostPostings\":5", "\"MostPostings\":0"), "settings: MostPostings"},
+      {with("\"MostPostings\":5", "\"MostPostings\":1e300"), "settings: MostPostings"},
+      {with("\"MostPostings\":5", "\"MostPostings\":1e999"), "not JSON"},
+      {with("\"Expiry\":1200.0", "\"Expiry\":null"), "settings: Schemes[0]: field Expiry"},
       {with("\"DialTimeout\":100.0", "\"DialTimeout\":-1"), "settings: DialTimeout"},
       {with("\"settings\":", "\"setings\":"), "settings"},
   }));
@@ -154,3 +157,18 @@
   CHECK(discovery.connections == 2);
   CHECK(p.counters.list_failures == 0);
 }
+
+TEST_CASE("a file that lost a key that it had at the start is told by its path, what is new with each start aside") {
+  const Keys first = keys_of(good);
+  CHECK((first.contains("settings.Permissions.MostPostings") && first.contains("settings.Schemes[].Expiry")));
+  const std::string path = std::filesystem::temp_directory_path() / ("robinpin-" + std::to_string(::getpid()) + ".json");
+  const auto again = [&](const std::string& text) {
+    std::ofstream(path) << text;
+    return boot_again(nothing, path, first);
+  };
+  CHECK_NOTHROW(again(with("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"1\"")));
+  CHECK_THROWS_WITH(again(with("\"MostPostings\":5,", "")), Contains("settings.Permissions.MostPostings is missing"));
+  CHECK_THROWS_WITH(again(with("\"Effect\":\"safe\",", "")), Contains("settings.Schemes[].Effect is missing"));
+  CHECK_THROWS_WITH(again(with("\"sockets\":512,", "")), Contains("limits.sockets is missing"));
+  std::filesystem::remove(path);
+}
