Long bodies and answers stream both ways with back-pressure; a coming body is no work in flight

Cause: answers over 1 MiB were taken for spoilt and bodies over 64 KiB turned down, 66 slow senders were cut off after 2.5 s for the whole message. Change: a message's body is passed on in pieces and its room used again; a posting may stream from its client's connection, none after a part is let go; an answer of over 64 KiB is final with its first bytes and relayed, broken off so that the client can tell; a head has 2.5 s, a body a pace; 100-continue is answered; the module does not count a coming body in flight, its time stands still. Ruled out: memory (2 of 48 MB), the servers' answers (2 errors).

--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -147,6 +147,7 @@
 struct Said {  // by the client, of its txn
   bool repeat = false;
   std::uint32_t key = 0;  // of what the txn is about, hashed; 0: none
+  bool coming = false;    // its body has only begun
 };
 
 enum class standing { serving, draining, gone };
@@ -298,6 +299,7 @@
   double luck = 0;  // from 0 to under 1, drawn once
   bool in_share = true;
   bool streaming = false;  // its answer has begun: the client's, without expiry
+  bool coming = false;     // its own bytes are
   bool answered = false;
   bool promised = false;  // taken under other terms: it lives to its expiry
   Allowed allowed;
@@ -364,6 +366,9 @@
     }
     return run();
   }
+  // Of a txn's own bytes more have come, so long after what was heard of it before: until they are whole neither it nor
+  // its server is late, and the server does no work for it.
+  Decisions still_coming(micros now, const std::string& id, micros by, bool whole);
   Decisions client_left(micros at, const std::string& id) {
     now = at;
     if (const auto it = txns.find(id); it != txns.end() && !it->second.answered) close(id, it->second, false);
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -246,7 +246,7 @@
   }
   txn.postings.push_back({&s, now, int(s.out.size()), trial, false, false, pressed(s)});
   s.holds(now);
-  s.out.push_back(now);
+  if (!txn.coming) s.out.push_back(now);
   todo_.sends.push_back({id, s.line.server, txn.allowed.wait});
 }
 
@@ -638,6 +638,7 @@
   t.expiry = now + left;
   t.tenant = tenant;
   t.key = said.key;
+  t.coming = said.coming;
   const scheme_row& row = terms.schemes[std::size_t(scheme)];
   t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
   // A repeat's SLA time ran from its first try. Which that was a node knows that its clients come back to, by
@@ -708,6 +709,21 @@
   return run();
 }
 
+Decisions Balancer::still_coming(micros at, const std::string& id, micros by, bool whole) {
+  now = at;
+  const auto it = txns.find(id);
+  if (it == txns.end() || it->second.answered || !it->second.coming) return run();
+  Txn& t = it->second;
+  t.coming = !whole;
+  for (micros* moment : {&t.taken, &t.sla, &t.expiry}) *moment += by;
+  for (Posting& p : t.postings) {
+    if (p.ended) continue;
+    p.sent = now;
+    if (whole) p.server->holds(now), p.server->out.push_back(now);
+  }
+  return run();
+}
+
 Decisions Balancer::probe_answered(micros at, const std::string& server, bool ok, micros lag, const Report*) {
   now = at;
   const auto it = servers.find(server);
--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t first_size = 2048, kept_size = 16 * 1024, believed = 64 * 1024;
+constexpr std::size_t first_size = 2048, kept_size = 16 * 1024, believed = 64 * 1024, streamed = 32 * 1024;
 
 char lower(char c) { return c >= 'A' && c <= 'Z' ? char(c - 'A' + 'a') : c; }
 
@@ -83,13 +83,16 @@
       if (p->type == HTTP_RESPONSE && !told && !bare && (p->flags & (F_CHUNKED | F_CONNECTION_CLOSE)) == 0 &&
           p->http_minor > 0)
         m.failed_ = reading::malformed;
+      m.length_ = told ? p->content_length : no_length;
       if (told && p->content_length > m.limits_.body) m.failed_ = reading::body_too_long;
       return m.failed_ == reading::unfinished ? 0 : -1;
     };
     s.on_body = [](http_parser* p, const char* at, std::size_t n) {
       Message& m = of(p);
-      if (m.body_.size + n > m.limits_.body) m.failed_ = reading::body_too_long;
+      if (m.came_ + n > m.limits_.body) m.failed_ = reading::body_too_long;
       if (m.failed_ != reading::unfinished) return -1;
+      if (m.came_ == 0) m.floor_ = std::size_t(at - m.buffer_.data());
+      m.came_ += n;
       m.join(m.body_, at, n);
       return 0;
     };
@@ -159,8 +162,30 @@
   return complete_ ? reading::complete : reading::malformed;
 }
 
+// Unfinished, all that is in the buffer has been parsed; complete, the next message may lie behind the body.
+void Message::pass_on() {
+  if (!complete_ && came_ > 0) {
+    parsed_ = end_ = floor_;
+    if (buffer_.size() > floor_ + 2 * streamed) {
+      buffer_.resize(floor_ + streamed);
+      buffer_.shrink_to_fit();
+    }
+  }
+  body_.size = 0;
+}
+
+bool Message::wants_word() {
+  if (word_given_ || !head_done_ || complete_ || came_ > 0 || behind() || parser_.http_minor == 0) return false;
+  word_given_ = same_name(header("Expect"), "100-continue");
+  return word_given_;
+}
+
 void Message::forget() {
   target_ = body_ = {};
+  floor_ = 0;
+  length_ = no_length;
+  came_ = 0;
+  word_given_ = false;
   headers_.clear();
   begun_ = in_value_ = head_done_ = complete_ = keep_alive_ = false;
 }
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -5,6 +5,8 @@
 #include <http_parser.h>
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -17,7 +19,8 @@
   std::size_t body = 64 * 1024;
 };
 
-enum class reading { unfinished, complete, malformed, head_too_long, body_too_long };
+// `longer`: the head is whole, and more of a body is to come than its reader keeps.
+enum class reading { unfinished, complete, malformed, head_too_long, body_too_long, longer };
 
 class Message {
  public:
@@ -32,6 +35,20 @@
   // Drops the message that was read and looks at what came behind it.
   reading next();
 
+  // The head is whole and its body more than that, as told or as it has come.
+  bool longer_than(std::size_t kept) const {
+    return head_done_ && !complete_ && (body_.size > kept || (told() && *told() > kept));
+  }
+  std::optional<std::uint64_t> told() const {  // the body's length
+    return head_done_ && length_ != no_length ? std::optional(length_) : std::nullopt;
+  }
+  bool whole() const { return complete_; }
+  std::uint64_t came() const { return came_; }  // of the body, what was passed on too
+  // Drops what has come of the body: its reader has passed it on, and the room is used again.
+  void pass_on();
+  // Once a message, if its sender waits to be told to go on with the body.
+  bool wants_word();
+
   bool begun() const { return begun_; }           // of the present message anything has come
   bool behind() const { return end_ > parsed_; }  // bytes of a next one have come
   bool keep_alive() const { return keep_alive_; }
@@ -42,6 +59,7 @@
   // Gives back the memory of a long message that has been copied; what it said is gone, but for keep_alive().
   void let_go();
   int status() const { return parser_.status_code; }
+  int minor() const { return parser_.http_minor; }
   std::string_view method() const { return http_method_str(http_method(parser_.method)); }
   bool connects() const { return parser_.method == HTTP_CONNECT || parser_.upgrade; }
   std::string_view target() const { return text(target_); }
@@ -68,10 +86,14 @@
   http_parser parser_{};
   Limits limits_;
   std::vector<char> buffer_;
+  static constexpr std::uint64_t no_length = ~std::uint64_t(0);
   std::size_t parsed_ = 0, end_ = 0;
+  std::size_t floor_ = 0;  // where the body begins in the buffer
+  std::uint64_t length_ = no_length, came_ = 0;
   Span target_, body_;
   std::vector<std::pair<Span, Span>> headers_;
-  bool begun_ = false, in_value_ = false, head_done_ = false, complete_ = false, keep_alive_ = false;
+  bool begun_ = false, in_value_ = false, head_done_ = false, complete_ = false, keep_alive_ = false,
+       word_given_ = false;
   reading failed_ = reading::unfinished;
 };
 
--- a/src/node/boot.cpp
+++ b/src/node/boot.cpp
@@ -18,7 +18,6 @@
     24;  // descriptors that are no sockets of peers: standard streams, epoll, signals, timers
 constexpr int least_sockets = 16;
 constexpr int usual_sockets = 1024;
-constexpr double usual_memory_mb = 256, parts_of_memory = 32;
 
 std::uint32_t seed_of(const std::string& hex) {
   std::uint64_t n = 0;
@@ -50,14 +49,10 @@
   return most - kept_back;
 }
 
-// Servers may say more than they should, and a good answer is not to be spoilt for it; but a few of the longest
-// must find room at once.
-std::size_t answer_of(const read::value& config) {
-  double mb = usual_memory_mb;
-  if (const auto* limits = read::find(config, "limits"))
-    mb = read::number(read::object(*limits, "limits"), "memory_mb", usual_memory_mb);
-  if (!(mb > 0)) read::wrong("limits.memory_mb is not above 0");
-  return std::size_t(std::clamp(mb / parts_of_memory, 0.25, 8.0) * 1024 * 1024);
+void check_memory(const read::value& config) {
+  const auto* limits = read::find(config, "limits");
+  if (limits && !(read::number(read::object(*limits, "limits"), "memory_mb", 1) > 0))
+    read::wrong("limits.memory_mb is not above 0");
 }
 
 // What no house can mean, and the module is not made for.
@@ -167,7 +162,7 @@
   b.kept_back = kept_back + (b.control ? Control::descriptors : 0);
   b.most_sockets = sockets_of(config) + kept_back - b.kept_back;
   if (const char* folder = variable("TMPDIR"); b.inherited >= 0 && folder) b.folder = folder;
-  b.most_answer = answer_of(config);
+  check_memory(config);
   if (const auto* known = read::find(config, "known"))
     b.known = read::inside("known", [&] { return news_of(*known); });
   b.house = house_in(config);
--- a/src/node/boot.h
+++ b/src/node/boot.h
@@ -25,7 +25,8 @@
   int most_sockets = 0;  // descriptors for sockets, what the process needs besides taken off
   int kept_back = 0;     // what was
   std::string folder;    // that processes of this node share, where they are replaced while it serves
-  std::size_t most_answer = 0;  // bytes of an answer's body
+  // Bytes of an answer's body, which streams: what is said to be longer is spoilt.
+  std::size_t most_answer = 64 * 1024 * 1024;
   News known;
   read::House house;
   Keys keys;
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -13,9 +13,12 @@
 namespace {
 
 using namespace std::chrono_literals;
-// A first txn must be whole so soon after its client has connected, whatever trickles in; later ones after
-// their first byte.
-constexpr steady::duration message_limit = 2500ms, idle_limit = 60s, crowded_idle_limit = 3s,
+// A head must be whole so soon after its first byte, and a first one so soon after its client has connected, whatever
+// trickles in; a body comes at no less than that pace.
+constexpr std::size_t slow_pace = 32 * 1024;
+constexpr Limits client_limits = {16 * 1024, 48 * 1024 * 1024};
+constexpr int send_buffer = 128 * 1024;  // a longer one would hide for long that a client takes nothing
+constexpr steady::duration message_limit = 2500ms, first_limit = 2800ms, idle_limit = 60s, crowded_idle_limit = 3s,
                            write_limit = 5s;
 constexpr steady::duration slow_sender = 300ms, fresh = 250ms, newcomer = 50ms, linger = 20ms;
 constexpr auto last_words = 500ms;
@@ -64,7 +67,7 @@
   return false;
 }
 
-std::shared_ptr<const Outbound> outbound_of(const Message& m, bool once) {
+std::shared_ptr<Outbound> outbound_of(const Message& m, bool once) {
   auto r = std::make_shared<Outbound>();
   const std::string_view host = m.header("Host");
   r->start = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", m.method(), m.target(),
@@ -74,7 +77,7 @@
     const auto [name, value] = m.header(i);
     if (!stays_here(name, lists)) r->headers += fmt::format("{}: {}\r\n", name, value);
   }
-  r->body = m.body();
+  if (!m.longer_than(most_kept)) r->body = m.body();
   r->once = once;
   return r;
 }
@@ -160,7 +163,7 @@
     if (!error) {
       ++counters_.clients_accepted;
       socket.set_option(tcp::no_delay(true), error);
-      asio::co_spawn(io_, serve(std::make_shared<Connection>(std::move(socket), sockets_, HTTP_REQUEST)),
+      asio::co_spawn(io_, serve(std::make_shared<Connection>(std::move(socket), sockets_, HTTP_REQUEST, client_limits)),
                      asio::detached);
     } else if (acceptor_.is_open() && error != asio::error::operation_aborted) {
       // Out of descriptors, or a connection that went before it was taken.
@@ -182,7 +185,7 @@
 
 // A crowded node closes after an answer, where no client's next txn is crossed.
 bool Clients::stays(const Connection& c) const {
-  return c.in.keep_alive() && !closing_ && sockets_.open() < sockets_.most() * 3 / 4;
+  return c.in.keep_alive() && c.in.minor() > 0 && !closing_ && sockets_.open() < sockets_.most() * 3 / 4;
 }
 
 bool Clients::evict(doing what, steady::duration old) {
@@ -236,7 +239,7 @@
   const seat s = seats_.insert(seats_.end(), Seat{c, doing::arriving, steady::now()});
   bool failed = false;
   try {
-    const auto first_until = steady::now() + message_limit;
+    const auto first_until = steady::now() + first_limit;
     for (bool first = true; co_await serve_next(c, s, first ? first_until : steady::time_point::max());)
       first = false;
   } catch (const std::exception& failure) {
@@ -275,13 +278,14 @@
   if (got == reading::unfinished) {
     now_doing(s, doing::reading);
     c->limit(std::min(until, steady::now() + message_limit));
-    got = co_await c->read(error);
+    got = co_await c->read(error, most_kept, slow_pace);
     if (got == reading::unfinished) co_return false;
   }
   s->what = doing::page;
   c->no_limit();
   switch (got) {
     case reading::complete:
+    case reading::longer:
       break;
     case reading::body_too_long:
       co_return co_await turn_down(c, s, 413, "the body is too long");
@@ -299,9 +303,12 @@
 
 awaitable<bool> Clients::turn_down(connection c, seat s, int status, std::string_view why) {
   ++counters_.bad_requests;
-  const std::string body = fmt::format("{}\n", why);
-  co_await answer(c, status, "Content-Type: text/plain\r\n", body, false);
-  // To close on what the client still sends would reset the connection before it has read the answer.
+  co_return co_await answer_last(c, s, status, "Content-Type: text/plain\r\n", fmt::format("{}\n", why));
+}
+
+// Where the client may still be sending: to close on that would reset the connection before it has read the answer.
+awaitable<bool> Clients::answer_last(connection c, seat s, int status, std::string_view headers, std::string_view body) {
+  co_await answer(c, status, headers, body, false);
   asio::error_code error;
   c->socket.shutdown(tcp::socket::shutdown_send, error);
   now_doing(s, doing::leaving);
@@ -316,7 +323,7 @@
   ++counters_.health_calls;
   const std::string_view target = c->in.target();
   constexpr std::string_view plain = "Content-Type: text/plain\r\n";
-  if (c->in.method() != "GET") co_return co_await turn_down(c, s, 405, "only GET");
+  if (c->in.method() != "GET" || !c->in.whole()) co_return co_await turn_down(c, s, 405, "only GET");
   if (target == "/config")
     co_return co_await answer(c, 200, "Content-Type: application/json\r\n", routes_.told());
   if (target == "/health/live") co_return co_await answer(c, 200, plain, "live\n");
@@ -326,22 +333,29 @@
 }
 
 awaitable<bool> Clients::txn(connection c, seat s) {
-  const Asked asked = asked_of(c->in, house_);
+  Asked asked = asked_of(c->in, house_);
   if (asked.status != 0) co_return co_await turn_down(c, s, asked.status, asked.why);
   if (desk_.knows(asked.id)) co_return co_await turn_down(c, s, 409, "Request-Id is in use");
   limits::Taken route = routes_.take({asked.scheme, asked.tenant, c->in.method(), c->in.target()}, clock_.now());
-  c->in.let_go();
+  const bool longer = !c->in.whole();
+  if (longer) {
+    asked.outbound->source = c;
+    asked.said.coming = true;
+    route.allowed.two_at_once = false;  // its body comes once
+  } else {
+    c->in.let_go();
+  }
   const Desk::visit v = desk_.take(asked.id, asked.scheme, asked.tenant, clock_.of(c->arrived()), asked.left,
                                    asked.cost, std::move(route), asked.said);
   s->what = doing::txn;
-  watch(c, v);
+  if (!longer) watch(c, [this, v] { desk_.leave(v); });
   std::vector<std::shared_ptr<Call>> calls;
   Order order;
   for (;;) {
     order = co_await desk_.pick(v);
     if (order.next == Order::what::post) {
       calls.push_back(std::make_shared<Call>());
-      asio::co_spawn(io_, posting(v, calls.back(), order, asked.outbound), asio::detached);
+      asio::co_spawn(io_, posting(c, v, calls.back(), order, asked.outbound), asio::detached);
     } else if (order.next == Order::what::withdraw) {
       if (std::size_t(order.posting) < calls.size()) calls[std::size_t(order.posting)]->withdraw();
     } else {
@@ -349,33 +363,92 @@
     }
   }
   asio::error_code ignored;
-  if (c->open()) c->socket.cancel(ignored);  // the watch
+  if (c->open()) c->socket.cancel(ignored);  // the watch, or the reading of a long body
+  const auto give = [&](int status, std::string_view headers, std::string_view body) {
+    return c->in.whole() ? answer(c, status, headers, body) : answer_last(c, s, status, headers, body);
+  };
   Ended& ended = counters_.ended(asked.scheme);
   switch (order.next) {
     case Order::what::settled: {
+      Call& call = *calls[std::size_t(order.posting)];
+      if (call.answer.longer) co_return co_await relay(c, call, asked.scheme);
       ++ended.settled;
-      const Answer& a = calls[std::size_t(order.posting)]->answer;
+      const Answer& a = call.answer;
       const std::string type = a.type.empty() ? "" : fmt::format("Content-Type: {}\r\n", a.type);
-      co_return co_await answer(c, 200, type, a.body);
+      co_return co_await give(200, type, a.body);
     }
     case Order::what::declined: {
       ++ended.declined;
       const std::string advice =
           order.come_back > 0 ? fmt::format("Retry-After: {:.3f}\r\n", double(order.come_back) / 1e6) : "";
-      co_return co_await answer(c, 503, advice, "declined\n");
+      co_return co_await give(503, advice, "declined\n");
     }
     case Order::what::reversed: {
       ++ended.reversed;
-      co_return co_await answer(c, 502, "", "reversed\n");
+      co_return co_await give(502, "", "reversed\n");
     }
     default:
       co_return false;
   }
 }
 
+// The rest of a long answer, as it comes and as the client takes it: each piece is read when the one before it is
+// written. The txn has its answer, so neither ends it late; only a side that does nothing for long ends the transfer,
+// and then the client can tell that it is not whole.
+awaitable<bool> Clients::relay(connection c, Call& call, int scheme) {
+  const auto from = call.connection;
+  const auto told = from->in.told();
+  const bool old = c->in.minor() == 0, framed = !told && !old, stay = stays(*c) && !(old && !told);
+  asio::error_code error;
+  c->socket.set_option(asio::socket_base::send_buffer_size(send_buffer), error);
+  watch(c, [from] { from->close(); });
+  std::string before =
+      fmt::format("HTTP/1.1 200 OK\r\n{}{}{}\r\n",
+                  call.answer.type.empty() ? "" : fmt::format("Content-Type: {}\r\n", call.answer.type),
+                  told     ? fmt::format("Content-Length: {}\r\n", *told)
+                  : framed ? "Transfer-Encoding: chunked\r\n"
+                           : "",
+                  stay ? "" : "Connection: close\r\n");
+  bool whole = false, taken = true;
+  while (taken) {
+    const std::string_view body = from->in.body();
+    std::string after;
+    if (framed && !body.empty()) before += chunk_head(body.size()), after = "\r\n";
+    if (framed && whole) after += "0\r\n\r\n";
+    c->limit(steady::now() + stall_limit);
+    std::size_t written = 0;
+    taken = !co_await c->write(before, body, written) && (after.empty() || !co_await c->write(after, {}, written));
+    before.clear();
+    if (whole || !taken) break;
+    from->in.pass_on();
+    from->limit(steady::now() + stall_limit);
+    const reading got = co_await from->more(error);
+    from->no_limit();
+    whole = got == reading::complete;
+    if (error || (got != reading::unfinished && !whole)) break;
+  }
+  c->no_limit();
+  if (c->open()) c->socket.cancel(error);
+  if (whole && taken) {
+    ++counters_.ended(scheme).settled;
+    servers_.done(call);
+    co_return stay;
+  }
+  ++counters_.ended(scheme).reversed;
+  ++counters_.answers_broken;
+  from->close();
+  c->abort();
+  co_return false;
+}
+
 // Whatever happens to it, a posting ends in one report to the desk.
-awaitable<void> Clients::posting(Desk::visit v, std::shared_ptr<Call> call, Order order,
+awaitable<void> Clients::posting(connection c, Desk::visit v, std::shared_ptr<Call> call, Order order,
                                  std::shared_ptr<const Outbound> outbound) {
+  if (outbound->source)
+    call->moved = [this, c, v] {
+      desk_.still_coming(v, c->in.whole());
+      if (c->in.whole()) watch(c, [this, v] { desk_.leave(v); });
+    };
   try {
     const micros until = order.wait > 0 ? std::min(v->expiry, clock_.now() + order.wait) : v->expiry;
     co_await servers_.post(call, order.server, std::move(outbound), until);
@@ -386,6 +459,9 @@
     call->connection.reset();
   }
   const Answer& a = call->answer;
+  if (call->source_failed) desk_.leave(v);
+  if (call->let_go && a.how != ending::settled) desk_.no_further(v);
+  call->moved = nullptr;
   desk_.report(v, order.posting, a.how, a.lag, a.reported ? &a.report : nullptr);
 }
 
@@ -404,10 +480,10 @@
   co_return stay && !broken;
 }
 
-// A client that closes while its txn is at the desk has gone away.
-void Clients::watch(const connection& c, const Desk::visit& v) {
-  c->socket.async_wait(tcp::socket::wait_read, [this, c, v](asio::error_code cancelled) {
-    if (!cancelled && c->peer_gone()) desk_.leave(v);
+// A client that closes while its txn is at the desk, or while it is answered, has gone away.
+void Clients::watch(const connection& c, std::function<void()> gone) {
+  c->socket.async_wait(tcp::socket::wait_read, [c, gone = std::move(gone)](asio::error_code cancelled) {
+    if (!cancelled && c->peer_gone()) gone();
   });
 }
 
--- a/src/node/clients.h
+++ b/src/node/clients.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -24,7 +25,7 @@
   micros left = 0;
   Said said;
   double cost = 0;  // its work, in microseconds, where clients tell; else 0
-  std::shared_ptr<const Outbound> outbound;
+  std::shared_ptr<Outbound> outbound;
 };
 Asked asked_of(const Message& m, const read::House& house);
 
@@ -64,11 +65,13 @@
   awaitable<bool> turn_down(connection c, seat s, int status, std::string_view why);
   awaitable<bool> own_page(connection c, seat s);
   awaitable<bool> txn(connection c, seat s);
-  awaitable<void> posting(Desk::visit v, std::shared_ptr<Call> call, Order order,
+  awaitable<void> posting(connection c, Desk::visit v, std::shared_ptr<Call> call, Order order,
                           std::shared_ptr<const Outbound> outbound);
   awaitable<bool> answer(connection c, int status, std::string_view headers, std::string_view body,
                          bool may_stay = true);
-  void watch(const connection& c, const Desk::visit& v);
+  awaitable<bool> answer_last(connection c, seat s, int status, std::string_view headers, std::string_view body);
+  awaitable<bool> relay(connection c, Call& call, int scheme);
+  void watch(const connection& c, std::function<void()> gone);
 
   asio::io_context& io_;
   const Clock& clock_;
--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -40,7 +40,14 @@
   counted_ = false;
 }
 
+void Connection::abort() {
+  asio::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  close();
+}
+
 void Connection::limit(steady::time_point at) {
+  limit_ = at;
   timer_.expires_at(at);
   timer_.async_wait([weak = weak_from_this(), round = ++round_](asio::error_code cancelled) {
     const auto self = weak.lock();
@@ -121,18 +128,31 @@
   }
 }
 
-awaitable<reading> Connection::read(asio::error_code& error) {
+awaitable<reading> Connection::more(asio::error_code& error) {
   error = {};
-  for (;;) {
-    const auto [at, size] = in.room();
-    const std::size_t came = co_await receive(at, size, error);
-    if (error) {
-      const bool whole = error == asio::error::eof && in.begun() && in.ended() == reading::complete;
-      if (whole) error = {};
-      co_return whole ? reading::complete : reading::unfinished;
+  const auto [at, size] = in.room();
+  const std::size_t came = co_await receive(at, size, error);
+  if (!error) co_return in.take(came);
+  const bool whole = error == asio::error::eof && in.begun() && in.ended() == reading::complete;
+  if (whole) error = {};
+  co_return whole ? reading::complete : reading::unfinished;
+}
+
+awaitable<reading> Connection::read(asio::error_code& error, std::size_t kept, std::size_t bytes_a_second) {
+  constexpr std::string_view word = "HTTP/1.1 100 Continue\r\n\r\n";
+  error = {};
+  for (std::uint64_t counted = 0; !in.longer_than(kept);) {
+    const reading r = co_await more(error);
+    if (error || r != reading::unfinished) co_return r;
+    if (bytes_a_second > 0 && in.came() - counted >= bytes_a_second / 16) {
+      limit(limit_ + std::chrono::microseconds((in.came() - counted) * 1'000'000 / bytes_a_second));
+      counted = in.came();
     }
-    if (const reading r = in.take(came); r != reading::unfinished) co_return r;
+    std::size_t written = 0;
+    if (in.wants_word()) error = co_await write(word, {}, written);
+    if (error) co_return reading::unfinished;
   }
+  co_return reading::longer;
 }
 
 tcp::endpoint endpoint_of(const std::string& text) {
--- a/src/node/connection.h
+++ b/src/node/connection.h
@@ -56,6 +56,7 @@
   Connection& operator=(const Connection&) = delete;
 
   void close();
+  void abort();  // so that the peer can tell that what it was sent is not whole
   bool open() const { return socket.is_open(); }
   // Closes the connection at that time unless the limit is moved or lifted before.
   void limit(steady::time_point at);
@@ -70,8 +71,13 @@
   awaitable<asio::error_code> connect(tcp::endpoint to);
   // Writes all of it; `written` tells how much went out.
   awaitable<asio::error_code> write(std::string_view head, std::string_view body, std::size_t& written);
-  // Reads until a message is whole or the connection ends (`error`).
-  awaitable<reading> read(asio::error_code& error);
+  static constexpr std::size_t all = ~std::size_t(0);
+  // Reads until a message is whole, or known to be `longer` than what is kept of a body, or the connection ends
+  // (`error`). Who waits for the word to go on is given it. `bytes_a_second`: the limit that was set moves on as the
+  // body comes at that pace.
+  awaitable<reading> read(asio::error_code& error, std::size_t kept = all, std::size_t bytes_a_second = 0);
+  // Reads once, what comes next of a message that has begun.
+  awaitable<reading> more(asio::error_code& error);
 
   // When the last bytes that were read reached the machine, where the kernel tells; else when they were read.
   steady::time_point arrived() const { return arrived_; }
@@ -88,7 +94,7 @@
   asio::steady_timer timer_;
   std::uint64_t round_ = 0;
   bool counted_ = true, ran_out_ = false;
-  steady::time_point arrived_{};
+  steady::time_point arrived_{}, limit_{};
   steady::duration round_trip_{};
 };
 
--- a/src/node/desk.cpp
+++ b/src/node/desk.cpp
@@ -26,7 +26,7 @@
 // to read late.
 Desk::visit Desk::take(const std::string& id, int scheme, int tenant, micros arrived, micros left,
                        double cost, limits::Taken route, Said said) {
-  const visit v(new Visit(io_, id, arrived + left));
+  const visit v(new Visit(io_, id, arrived, arrived + left));
   v->place_ = std::move(route.place);
   visits_[id] = v;
   ++counters_.txns_taken;
@@ -80,6 +80,19 @@
   give(v->id, {Order::what::gone, 0, {}, 0, 0, {}});
 }
 
+void Desk::still_coming(const visit& v, bool whole) {
+  const micros by = clock_.now() - std::exchange(v->moved_, clock_.now());
+  if (v->over_) return;
+  v->expiry += by;
+  carry_out(balancer_.still_coming(clock_.now(), v->id, by, whole));
+  if (ends_ > 0) clip();
+}
+
+void Desk::no_further(const visit& v) {
+  const auto t = balancer_.txns.find(v->id);
+  if (t != balancer_.txns.end()) t->second.allowed.postings = int(t->second.postings.size());
+}
+
 void Desk::end_by(micros at) {
   ends_ = at;
   clip();
--- a/src/node/desk.h
+++ b/src/node/desk.h
@@ -34,13 +34,14 @@
   class Visit {
    public:
     const std::string id;
-    const micros expiry;
+    micros expiry;
     bool over() const { return over_; }
 
    private:
     friend class Desk;
-    Visit(asio::io_context& io, std::string name, micros until)
-        : id(std::move(name)), expiry(until), news_(io, steady::time_point::max()) {}
+    Visit(asio::io_context& io, std::string name, micros taken, micros until)
+        : id(std::move(name)), expiry(until), moved_(taken), news_(io, steady::time_point::max()) {}
+    micros moved_;  // when its time began to run, as last told
     asio::steady_timer news_;
     std::deque<Order> orders_;
     int sent_ = 0, out_ = 0;
@@ -61,6 +62,9 @@
   // Other terms from now on; what can't be switched while the node runs, by name, and then nothing is.
   std::string adopt(const Terms& next);
   void leave(const visit& v);  // the client has gone away
+  // Of a long body more has come: until it is whole the txn's time stands still.
+  void still_coming(const visit& v, bool whole);
+  void no_further(const visit& v);  // postings: a part of its body is gone
   void end_by(micros at);      // no txn may wait longer: the node ends
   awaitable<void> tick();      // runs as long as the node
 
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -130,12 +130,13 @@
 awaitable<void> Servers::post(std::shared_ptr<Call> call, std::string uid,
                               std::shared_ptr<const Outbound> outbound, micros expiry) {
   const micros sent = clock_.now();
+  call->server = uid;
   co_await exchange(*call, uid, *outbound, expiry);
   Answer& a = call->answer;
   if (a.came != how_far::answered)
     a.how = ending_of(a.came, call->withdrawn, call->connection && call->connection->ran_out());
-  a.lag = clock_.now() - sent;
-  call->connection.reset();
+  if (a.lag == 0) a.lag = clock_.now() - sent;
+  if (!a.longer) call->connection.reset();
 }
 
 awaitable<void> Servers::exchange(Call& call, const std::string& uid, const Outbound& outbound,
@@ -169,28 +170,45 @@
   if (call.withdrawn || !c.open() || left <= 0) co_return;
   a.came = how_far::connected;
   c.limit(clock_.at(expiry));
-  const std::string head = fmt::format("{}{}Request-Timeout-Ms: {}\r\nContent-Length: {}\r\n\r\n",
-                                       outbound.start, outbound.headers, left / 1000, outbound.body.size());
-  std::size_t written = 0;
-  const auto broken = co_await send(c, outbound, head, written);
-  if (written == head.size() + outbound.body.size()) {
-    a.came = how_far::written;
-    ++counters_.postings_written;
+  const std::string start = fmt::format("{}{}Request-Timeout-Ms: {}\r\n", outbound.start, outbound.headers, left / 1000);
+  micros sent = 0;
+  if (outbound.source) {
+    const auto told = outbound.source->in.told();
+    const std::string head =
+        told ? fmt::format("{}Content-Length: {}\r\n\r\n", start, *told) : start + "Transfer-Encoding: chunked\r\n\r\n";
+    if (co_await send_long(call, outbound, head, left)) co_return;
+    sent = clock_.now();
+  } else {
+    const std::string head = fmt::format("{}Content-Length: {}\r\n\r\n", start, outbound.body.size());
+    std::size_t written = 0;
+    const auto broken = co_await send(c, outbound, head, written);
+    if (written == head.size() + outbound.body.size()) {
+      a.came = how_far::written;
+      ++counters_.postings_written;
+    }
+    if (broken) co_return;
   }
-  if (broken || call.withdrawn) co_return;
+  if (call.withdrawn) co_return;
   asio::error_code error;
-  reading got = co_await c.read(error);
+  reading got = co_await c.read(error, most_kept);
   while (got == reading::complete && c.in.status() < 200) {  // interim answers say nothing
     got = c.in.next();
-    if (got == reading::unfinished) got = co_await c.read(error);
+    if (got == reading::unfinished) got = co_await c.read(error, most_kept);
   }
   if (got == reading::unfinished) co_return;
   a.came = how_far::answered;
-  if (got != reading::complete) {
+  // A server's part begins with the last byte that a client has sent.
+  if (sent > 0) a.lag = std::max<micros>(1, clock_.now() - sent);
+  if (got != reading::complete && got != reading::longer) {
     a.how = ending::error;
     co_return;
   }
   read_answer(call, c.in);
+  if (got == reading::longer) {
+    a.longer = a.how == ending::settled;
+    if (a.longer) c.no_limit();
+    co_return;
+  }
   // What comes behind an answer was not asked for: nothing else may be read there.
   if (!c.in.keep_alive() || c.in.behind()) co_return;
   c.in.next();
@@ -207,6 +225,10 @@
   const std::string_view last = tail.substr(tail.size() - 1);
   tail.remove_suffix(1);
   if (const auto broken = co_await c.write(head, body, written)) co_return broken;
+  co_return co_await send_last(c, last, written);
+}
+
+awaitable<asio::error_code> Servers::send_last(Connection& c, std::string_view last, std::size_t& written) {
   asio::steady_timer pause(io_);
   pause.expires_after(std::clamp<steady::duration>(2 * c.round_trip(), least_doubt, most_doubt));
   co_await pause.async_wait(asio::use_awaitable);
@@ -217,13 +239,94 @@
   co_return broken;
 }
 
+std::string chunk_head(std::size_t size) { return fmt::format("{:x}\r\n", size); }
+
+// As it comes from the client: each piece is read when the one before it is written, so that neither side's pace
+// fills the node. What was read is let go with the next piece; before that another server could still be tried.
+awaitable<asio::error_code> Servers::send_long(Call& call, const Outbound& outbound, std::string_view head,
+                                               micros left) {
+  Connection &c = *call.connection, &from = *outbound.source;
+  const bool framed = !from.in.told();
+  // A server that answers before it has all has not begun: no more is sent to it.
+  struct Watch {
+    bool early = false, over = false;
+  };
+  const auto w = std::make_shared<Watch>();
+  c.socket.async_wait(tcp::socket::wait_read, [w, kept = call.connection](asio::error_code cancelled) {
+    if (w->over || cancelled) return;
+    w->early = true;
+    asio::error_code ignored;
+    kept->socket.cancel(ignored);
+  });
+  const auto over = [&](asio::error_code why) {
+    w->over = true;
+    asio::error_code ignored;
+    if (c.open()) c.socket.cancel(ignored);
+    return why;
+  };
+  const auto broken_off = [&] { return w->early || call.withdrawn; };
+  std::string before(head), last;
+  for (reading got = reading::longer;;) {
+    const bool whole = got == reading::complete;
+    std::string_view body = from.in.body();
+    if (framed && !body.empty()) before += chunk_head(body.size());
+    std::string after = framed && !body.empty() ? "\r\n" : "";
+    if (framed && whole) after += "0\r\n\r\n";
+    if (whole) {  // the last byte waits where nothing may run twice
+      if (!after.empty()) {
+        last = after.substr(after.size() - 1);
+        after.pop_back();
+      } else if (!body.empty()) {
+        last = std::string(body.substr(body.size() - 1));
+        body.remove_suffix(1);
+      }
+    }
+    c.limit(steady::now() + stall_limit);
+    std::size_t written = 0;
+    if (const auto broken = co_await c.write(before, body, written)) co_return over(broken);
+    if (!after.empty())
+      if (const auto broken = co_await c.write(after, {}, written)) co_return over(broken);
+    before.clear();
+    if (broken_off()) co_return over(asio::error_code(asio::error::connection_reset));
+    if (whole) break;
+    c.no_limit();
+    call.let_go = true;
+    if (call.moved) call.moved();
+    from.in.pass_on();
+    asio::error_code error;
+    from.limit(steady::now() + stall_limit);
+    got = co_await from.more(error);
+    if (broken_off()) co_return over(asio::error_code(asio::error::connection_reset));
+    call.source_failed = error || (got != reading::unfinished && got != reading::complete);
+    if (call.source_failed) co_return over(asio::error_code(asio::error::eof));
+    from.no_limit();
+  }
+  if (call.moved) call.moved();
+  over({});
+  std::size_t written = 0;
+  const auto broken = outbound.once ? co_await send_last(c, last, written) : co_await c.write(last, {}, written);
+  if (written == last.size()) {
+    call.answer.came = how_far::written;
+    ++counters_.postings_written;
+  }
+  c.limit(clock_.at(clock_.now() + left));
+  co_return broken;
+}
+
+void Servers::done(Call& call) {
+  Connection& c = *call.connection;
+  if (!c.in.keep_alive() || c.in.behind()) return;
+  c.in.next();
+  if (c.quiet()) keep(call.server, std::move(call.connection));
+}
+
 void Servers::read_answer(Call& call, const Message& m) const {
   Answer& a = call.answer;
   a.reported = read_report(m.header("Server-Load"), house_.figures, a.report);
   if (m.status() == 200) {
     a.how = ending::settled;
     a.type = m.header("Content-Type");
-    a.body = m.body();
+    if (!m.longer_than(most_kept)) a.body = m.body();
   } else {
     const bool never_ran = (m.status() == 503 || m.status() == 504) && m.header("Not-Started") == "1";
     a.how = never_ran ? ending::refused : ending::error;
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -21,6 +21,7 @@
   std::string start;    // method, target and version
   std::string headers;  // each with its line end
   std::string body;
+  std::shared_ptr<Connection> source;  // of a body too long to be kept: the client's connection, which it comes from
   bool once = false;  // it must not run twice: what is reset before its last byte is out can be posted again
 };
 
@@ -32,6 +33,7 @@
   ending how = ending::unreachable;
   micros lag = 0;
   std::string type, body;  // of a 200
+  bool longer = false;     // its body has only begun: the rest is to come on the call's connection
   bool reported = false;
   Report report;
 };
@@ -39,6 +41,10 @@
 // A posting on its way, which may be withdrawn.
 struct Call {
   bool withdrawn = false;
+  bool let_go = false;  // of a long body, what a server would need to begin anew
+  bool source_failed = false;  // the client broke off its long body
+  std::string server;
+  std::function<void()> moved;  // a long body has come on
   std::shared_ptr<Connection> connection;
   Answer answer;
   void withdraw() {
@@ -47,10 +53,17 @@
   }
 };
 
+// Longer bodies are not kept: they are passed on as they come.
+constexpr std::size_t most_kept = 64 * 1024;
+// Without any progress for so long a transfer ends.
+constexpr steady::duration stall_limit = std::chrono::seconds(8);
+// Before a part of a body whose length was not told.
+std::string chunk_head(std::size_t size);
+
 class Servers {
  public:
   Servers(asio::io_context& io, const Clock& clock, Sockets& sockets, Counters& counters,
-          const read::House& house, std::size_t most_answer = 1024 * 1024);
+          const read::House& house, std::size_t most_answer = 64 * 1024 * 1024);
 
   // An address or a start that is new makes what is kept to the old one worthless.
   void told(const std::string& uid, tcp::endpoint at, micros started, bool gone);
@@ -58,6 +71,8 @@
   // Posts once; the outcome and how far it came are values in `call->answer`. Nothing is sent a second time.
   awaitable<void> post(std::shared_ptr<Call> call, std::string uid, std::shared_ptr<const Outbound> outbound,
                        micros expiry);
+  // A long answer has been read to its end: the connection may serve again.
+  void done(Call& call);
   awaitable<void> sweep();  // runs as long as the node
   void when_unreachable(std::function<void()> then) { unreachable_ = std::move(then); }
   bool any() const { return !peers_.empty(); }
@@ -76,6 +91,8 @@
   awaitable<void> exchange(Call& call, const std::string& uid, const Outbound& outbound, micros expiry);
   awaitable<asio::error_code> send(Connection& c, const Outbound& outbound, std::string_view head,
                                    std::size_t& written);
+  awaitable<asio::error_code> send_long(Call& call, const Outbound& outbound, std::string_view head, micros left);
+  awaitable<asio::error_code> send_last(Connection& c, std::string_view last, std::size_t& written);
   void read_answer(Call& call, const Message& m) const;
 
   asio::io_context& io_;
