An answer without a told length is passed on 20 ms after its head

Ruled out: choosing the server before a body is whole (4 of 26), memory, descriptors. Change: a body that has no told length is passed on after 20 ms; told ones of up to 64 KiB are kept as before.

--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -43,6 +43,8 @@
     return head_done_ && length_ != no_length ? std::optional(length_) : std::nullopt;
   }
   bool whole() const { return complete_; }
+  // Its body has no told length and is not whole: how long it will be nobody knows.
+  bool open_ended() const { return head_done_ && !complete_ && !told(); }
   std::uint64_t came() const { return came_; }  // of the body, what was passed on too
   // Drops what has come of the body: its reader has passed it on, and the room is used again.
   void pass_on();
--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -138,11 +138,37 @@
   co_return whole ? reading::complete : reading::unfinished;
 }
 
-awaitable<reading> Connection::read(asio::error_code& error, std::size_t kept, std::size_t bytes_a_second) {
+awaitable<reading> Connection::read(asio::error_code& error, std::size_t kept, std::size_t bytes_a_second,
+                                    steady::duration patience) {
+  struct Nudge {
+    bool fired = false, over = false;
+  };
+  const auto nudge = std::make_shared<Nudge>();
+  const struct Over {
+    Nudge& n;
+    ~Over() { n.over = true; }
+  } over{*nudge};
+  asio::steady_timer patient(socket.get_executor());
+  bool waits = false;
   constexpr std::string_view word = "HTTP/1.1 100 Continue\r\n\r\n";
   error = {};
   for (std::uint64_t counted = 0; !in.longer_than(kept);) {
+    if (patience > steady::duration(0) && !waits && in.open_ended()) {
+      waits = true;
+      patient.expires_after(patience);
+      patient.async_wait([nudge, weak = weak_from_this()](asio::error_code cancelled) {
+        const auto self = weak.lock();
+        if (cancelled || nudge->over || !self || !self->open()) return;
+        nudge->fired = true;
+        asio::error_code ignored;
+        self->socket.cancel(ignored);
+      });
+    }
     const reading r = co_await more(error);
+    if (nudge->fired && open() && in.open_ended() && (!error || error == asio::error::operation_aborted)) {
+      error = {};
+      co_return reading::longer;
+    }
     if (error || r != reading::unfinished) co_return r;
     if (bytes_a_second > 0 && in.came() - counted >= bytes_a_second / 16) {
       limit(limit_ + std::chrono::microseconds((in.came() - counted) * 1'000'000 / bytes_a_second));
--- a/src/node/connection.h
+++ b/src/node/connection.h
@@ -74,8 +74,9 @@
   static constexpr std::size_t all = ~std::size_t(0);
   // Reads until a message is whole, or known to be `longer` than what is kept of a body, or the connection ends
   // (`error`). Who waits for the word to go on is given it. `bytes_a_second`: the limit that was set moves on as the
-  // body comes at that pace.
-  awaitable<reading> read(asio::error_code& error, std::size_t kept = all, std::size_t bytes_a_second = 0);
+  // body comes at that pace. `patience`: a body without a told length is taken for longer after so much time.
+  awaitable<reading> read(asio::error_code& error, std::size_t kept = all, std::size_t bytes_a_second = 0,
+                          steady::duration patience = {});
   // Reads once, what comes next of a message that has begun.
   awaitable<reading> more(asio::error_code& error);
 
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -190,10 +190,10 @@
   }
   if (call.withdrawn) co_return;
   asio::error_code error;
-  reading got = co_await c.read(error, most_kept);
+  reading got = co_await c.read(error, most_kept, 0, open_ended_kept);
   while (got == reading::complete && c.in.status() < 200) {  // interim answers say nothing
     got = c.in.next();
-    if (got == reading::unfinished) got = co_await c.read(error, most_kept);
+    if (got == reading::unfinished) got = co_await c.read(error, most_kept, 0, open_ended_kept);
   }
   if (got == reading::unfinished) co_return;
   a.came = how_far::answered;
@@ -326,7 +326,7 @@
   if (m.status() == 200) {
     a.how = ending::settled;
     a.type = m.header("Content-Type");
-    if (!m.longer_than(most_kept)) a.body = m.body();
+    if (m.whole()) a.body = m.body();
   } else {
     const bool never_ran = (m.status() == 503 || m.status() == 504) && m.header("Not-Started") == "1";
     a.how = never_ran ? ending::refused : ending::error;
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -55,6 +55,8 @@
 
 // Longer bodies are not kept: they are passed on as they come.
 constexpr std::size_t most_kept = 64 * 1024;
+// A body without a told length is passed on after so long: its first bytes may be what the client times.
+constexpr steady::duration open_ended_kept = std::chrono::milliseconds(20);
 // Without any progress for so long a transfer ends.
 constexpr steady::duration stall_limit = std::chrono::seconds(8);
 // Before a part of a body whose length was not told.
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -190,6 +190,18 @@
   CHECK(p.sockets.open() == 0);
 }
 
+// Its length is not told, and over 64 KiB the first bytes count: to wait for those would make it late.
+TEST_CASE("of an answer in chunks that come slowly the first are passed on while the rest has yet to come") {
+  Streams p;
+  StandIn s(p.io, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+  p.knows("a", s.at());
+  tcp::socket client(p.io);
+  client.connect(p.clients.at());
+  asio::write(client, asio::buffer(request("1")));
+  CHECK_THAT(p.listen_to(client, 200ms), Contains("200 OK") && Contains("abc") && !Contains("\r\n0\r\n"));
+  CHECK(p.clients.pending() == 1);
+}
+
 TEST_CASE("a client that waits for the word to go on is given it") {
   Streams p;
   StandIn s(p.io, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
