Rows of schemes grow with their names, also where a house was built with too few

Cause: the sanitizers' run found renumbered() writing past the rows of a house with more names than rows (a test's own). Change: the rows grow to the names.

--- a/src/read/house.cpp
+++ b/src/read/house.cpp
@@ -54,10 +54,8 @@
   const auto rows_read = std::exchange(rows, rows_now);
   for (std::size_t i = 0; i < read.size(); ++i) {
     const auto n = std::size_t(std::find(names.begin(), names.end(), read[i]) - names.begin());
-    if (n == names.size()) {
-      names.push_back(read[i]);
-      rows.emplace_back();
-    }
+    if (n == names.size()) names.push_back(read[i]);
+    rows.resize(names.size());
     rows[n] = rows_read[i];
     numbers[read[i]] = int(n);
   }
