--- a/tests/commands_test.cpp
+++ b/tests/commands_test.cpp
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 
@@ -279,3 +280,82 @@
   ::kill(node, SIGTERM);
   CHECK(ended(node) == 0);
 }
+
+namespace {
+
+pid_t start_on(const Folder& f, const std::string& config, int control, int listening) {
+  const pid_t child = ::fork();
+  if (child == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::setenv("EDGE_CONFIG", config.c_str(), 1);
+    ::setenv("EDGE_CONTROL", ("127.0.0.1:" + std::to_string(control)).c_str(), 1);
+    ::setenv("EDGE_FD", std::to_string(listening).c_str(), 1);
+    ::setenv("TMPDIR", f.path.c_str(), 1);
+    ::fcntl(listening, F_SETFD, 0);
+    ::dup2(::open((f.path / "err").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600), 2);
+    ::execl(ROBINPIN_BINARY, ROBINPIN_BINARY, nullptr);
+    ::_exit(127);
+  }
+  return child;
+}
+
+bool says_yes(int control) {
+  asio::io_context io;
+  tcp::socket s(io);
+  asio::error_code error;
+  s.connect({asio::ip::address_v4::loopback(), std::uint16_t(control)}, error);
+  if (!error) asio::write(s, asio::buffer(std::string("GET /ready HTTP/1.1\r\n\r\n")), error);
+  std::string heard;
+  if (!error) asio::read_until(s, asio::dynamic_buffer(heard), "\r\n", error);
+  return heard.starts_with("HTTP/1.1 200");
+}
+
+}  // namespace
+
+TEST_CASE("a node replaced under load loses no txn, sends none twice and turns none back; one killed half-way leaves it") {
+  const Folder f;
+  SlowServer server;
+  asio::io_context io;
+  tcp::acceptor held(io, here);  // the platform's
+  const int port = held.local_endpoint().port(), at = server.acceptor.local_endpoint().port();
+  const std::string config = f.write("n.json", platform(port, 1, at, 1));
+  const int first_control = free_port(), second_control = free_port(), third_control = free_port();
+  const pid_t first = start_on(f, config, first_control, held.native_handle());
+  REQUIRE(soon([&] { return says_yes(first_control); }));
+
+  std::atomic<bool> over = false;
+  std::atomic<int> sent = 0, settled = 0;
+  std::vector<std::thread> clients;
+  for (int n = 0; n < 6; ++n)
+    clients.emplace_back([&, n] {
+      for (int i = 0; !over; ++i) {
+        ++sent;
+        const std::string heard = get(port, "POST /api HTTP/1.1\r\nHost: b\r\nRequest-Id: " + std::to_string(n * 10000 + i) +
+                                                "\r\nRequest-Class: pay\r\nRequest-Timeout-Ms: 5000\r\nContent-Length: 0\r\n\r\n");
+        settled += heard.starts_with("HTTP/1.1 200");
+      }
+    });
+  // Killed before it says yes: who was there serves on.
+  const pid_t killed = start_on(f, config, second_control, held.native_handle());
+  std::this_thread::sleep_for(30ms);
+  ::kill(killed, SIGKILL);
+  CHECK(ended(killed) == 128 + SIGKILL);
+  CHECK(says_yes(first_control));
+  std::ofstream(f.path / "robinpin.process.3") << "torn, and nobody's";
+
+  const pid_t second = start_on(f, config, third_control, held.native_handle());
+  REQUIRE(soon([&] { return says_yes(third_control); }));
+  ::kill(first, SIGTERM);
+  CHECK(ended(first) == 0);
+  CHECK(says_yes(third_control));
+  std::this_thread::sleep_for(500ms);
+  over = true;
+  for (auto& c : clients) c.join();
+  CHECK(sent > 6);
+  CHECK(settled == sent);
+  CHECK(int(server.seen.size()) == sent);
+  for (const auto& [id, times] : server.seen) CHECK(times == 1);
+  ::kill(second, SIGTERM);
+  CHECK(ended(second) == 0);
+  CHECK_THAT(f.read("err"), Contains("takes over") && Contains("2 processes of this node"));
+}
