--- a/src/node/connection.cpp
+++ b/src/node/connection.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <optional>
 #include <utility>
 
 #include "../read/json.h"
@@ -143,20 +144,21 @@
   struct Nudge {
     bool fired = false, over = false;
   };
-  const auto nudge = std::make_shared<Nudge>();
+  std::shared_ptr<Nudge> nudge;  // only where it is needed: nearly all answers tell their length
+  std::optional<asio::steady_timer> patient;
   const struct Over {
-    Nudge& n;
-    ~Over() { n.over = true; }
-  } over{*nudge};
-  asio::steady_timer patient(socket.get_executor());
-  bool waits = false;
+    const std::shared_ptr<Nudge>& n;
+    ~Over() {
+      if (n) n->over = true;
+    }
+  } over{nudge};
   constexpr std::string_view word = "HTTP/1.1 100 Continue\r\n\r\n";
   error = {};
   for (std::uint64_t counted = 0; !in.longer_than(kept);) {
-    if (patience > steady::duration(0) && !waits && in.open_ended()) {
-      waits = true;
-      patient.expires_after(patience);
-      patient.async_wait([nudge, weak = weak_from_this()](asio::error_code cancelled) {
+    if (patience > steady::duration(0) && !nudge && in.open_ended()) {
+      nudge = std::make_shared<Nudge>();
+      patient.emplace(socket.get_executor(), patience);
+      patient->async_wait([nudge, weak = weak_from_this()](asio::error_code cancelled) {
         const auto self = weak.lock();
         if (cancelled || nudge->over || !self || !self->open()) return;
         nudge->fired = true;
@@ -165,7 +167,7 @@
       });
     }
     const reading r = co_await more(error);
-    if (nudge->fired && open() && in.open_ended() && (!error || error == asio::error::operation_aborted)) {
+    if (nudge && nudge->fired && open() && in.open_ended() && (!error || error == asio::error::operation_aborted)) {
       error = {};
       co_return reading::longer;
     }
