--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -368,7 +368,20 @@
   }
   // Of a txn's own bytes more have come, so long after what was heard of it before: until they are whole neither it nor
   // its server is late, and the server does no work for it.
-  Decisions still_coming(micros now, const std::string& id, micros by, bool whole);
+  Decisions still_coming(micros at, const std::string& id, micros by, bool whole) {
+    now = at;
+    const auto it = txns.find(id);
+    if (it == txns.end() || it->second.answered || !it->second.coming) return run();
+    Txn& t = it->second;
+    t.coming = !whole;
+    for (micros* moment : {&t.taken, &t.sla, &t.expiry}) *moment += by;
+    for (Posting& p : t.postings) {
+      if (p.ended) continue;
+      p.sent = now;
+      if (whole) p.server->holds(now), p.server->out.push_back(now);
+    }
+    return run();
+  }
   Decisions client_left(micros at, const std::string& id) {
     now = at;
     if (const auto it = txns.find(id); it != txns.end() && !it->second.answered) close(id, it->second, false);
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -317,8 +317,7 @@
   return found;
 }
 
-// How much of the capacity away is drawn from: none while those at home are no slower; one now and then, to
-// know.
+// How much of the capacity away is drawn from: none while home is no slower; one now and then, to know.
 double Balancer::abroad() const {
   if (terms.price_crossing <= 0) return 1;
   const double worth_it = 1 + crossing_worth * terms.price_crossing;
@@ -406,11 +405,9 @@
 double Balancer::in_time(const Txn& txn, const Server& s) const {
   const double of_scheme = seen_[std::size_t(txn.scheme)].latency.mean(double(typical())) / double(typical());
   const int most = int(double(time_left(txn)) / pressed(s) / std::max(0.1, of_scheme) / double(bin_width));
-  const int all = std::accumulate(pooled.begin(), pooled.begin() + bins, 0);
-  return all == 0 ? 1
-                  : double(std::accumulate(pooled.begin(), pooled.begin() + std::clamp(most + 1, 0, bins - 1),
-                                           0)) /
-                        all;
+  const auto up_to = [&](int bin) { return std::accumulate(pooled.begin(), pooled.begin() + bin, 0); };
+  const int all = up_to(bins);
+  return all == 0 ? 1 : double(up_to(std::clamp(most + 1, 0, bins - 1))) / all;
 }
 
 // How much longer than usual calls take there, as told; not in proportion, a part waits for nothing.
@@ -637,8 +634,7 @@
   t.luck = part_of_one();
   t.expiry = now + left;
   t.tenant = tenant;
-  t.key = said.key;
-  t.coming = said.coming;
+  t.key = said.key, t.coming = said.coming;
   const scheme_row& row = terms.schemes[std::size_t(scheme)];
   t.sla = now + std::min(row.expiry, row.sla + micros(row.sla_stretch * std::max(0.0, cost)));
   // A repeat's SLA time ran from its first try. Which that was a node knows that its clients come back to, by
@@ -709,21 +705,6 @@
   return run();
 }
 
-Decisions Balancer::still_coming(micros at, const std::string& id, micros by, bool whole) {
-  now = at;
-  const auto it = txns.find(id);
-  if (it == txns.end() || it->second.answered || !it->second.coming) return run();
-  Txn& t = it->second;
-  t.coming = !whole;
-  for (micros* moment : {&t.taken, &t.sla, &t.expiry}) *moment += by;
-  for (Posting& p : t.postings) {
-    if (p.ended) continue;
-    p.sent = now;
-    if (whole) p.server->holds(now), p.server->out.push_back(now);
-  }
-  return run();
-}
-
 Decisions Balancer::probe_answered(micros at, const std::string& server, bool ok, micros lag, const Report*) {
   now = at;
   const auto it = servers.find(server);
--- a/src/node/boot.cpp
+++ b/src/node/boot.cpp
@@ -85,7 +85,7 @@
   if (v.IsObject())
     for (const auto& member : v.GetObject()) {
       if (member.value.IsNull()) continue;
-      const std::string below = path.empty() ? member.name.GetString() : path + "." + member.name.GetString();
+      const std::string below = path + "." + member.name.GetString();
       keys.insert(below);
       gather(member.value, below, keys);
     }
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -410,6 +410,7 @@
                            : "",
                   stay ? "" : "Connection: close\r\n");
   bool whole = false, taken = true;
+  steady::duration waited{};
   while (taken) {
     const std::string_view body = from->in.body();
     std::string after;
@@ -422,10 +423,12 @@
     if (whole || !taken) break;
     from->in.pass_on();
     from->limit(steady::now() + stall_limit);
+    const auto since = steady::now();
     const reading got = co_await from->more(error);
+    waited += steady::now() - since;
     from->no_limit();
     whole = got == reading::complete;
-    if (error || (got != reading::unfinished && !whole)) break;
+    if (error || too_slow(waited, from->in.came()) || (got != reading::unfinished && !whole)) break;
   }
   c->no_limit();
   if (c->open()) c->socket.cancel(error);
@@ -462,6 +465,7 @@
   if (call->source_failed) desk_.leave(v);
   if (call->let_go && a.how != ending::settled) desk_.no_further(v);
   call->moved = nullptr;
+  if (v->over()) call->connection.reset();  // another's answer is passed on: this one is not read
   desk_.report(v, order.posting, a.how, a.lag, a.reported ? &a.report : nullptr);
 }
 
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -266,6 +266,7 @@
   };
   const auto broken_off = [&] { return w->early || call.withdrawn; };
   std::string before(head), last;
+  steady::duration waited{};
   for (reading got = reading::longer;;) {
     const bool whole = got == reading::complete;
     std::string_view body = from.in.body();
@@ -295,9 +296,11 @@
     from.in.pass_on();
     asio::error_code error;
     from.limit(steady::now() + stall_limit);
+    const auto since = steady::now();
     got = co_await from.more(error);
+    waited += steady::now() - since;
     if (broken_off()) co_return over(asio::error_code(asio::error::connection_reset));
-    call.source_failed = error || (got != reading::unfinished && got != reading::complete);
+    call.source_failed = error || too_slow(waited, from.in.came()) || (got != reading::unfinished && got != reading::complete);
     if (call.source_failed) co_return over(asio::error_code(asio::error::eof));
     from.no_limit();
   }
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -59,6 +59,12 @@
 constexpr steady::duration open_ended_kept = std::chrono::milliseconds(20);
 // Without any progress for so long a transfer ends.
 constexpr steady::duration stall_limit = std::chrono::seconds(8);
+// Pieces of a body that trickle in must not hold a transfer for ever: beside the time for one, what it has been waited
+// for is at most what it takes at that pace.
+constexpr std::size_t least_pace = 4 * 1024;  // bytes a second
+inline bool too_slow(steady::duration waited, std::uint64_t came) {
+  return waited > stall_limit + std::chrono::microseconds(came * 1'000'000 / least_pace);
+}
 // Before a part of a body whose length was not told.
 std::string chunk_head(std::size_t size);
 
--- a/tests/commands_test.cpp
+++ b/tests/commands_test.cpp
@@ -299,16 +299,7 @@
   return child;
 }
 
-bool says_yes(int control) {
-  asio::io_context io;
-  tcp::socket s(io);
-  asio::error_code error;
-  s.connect({asio::ip::address_v4::loopback(), std::uint16_t(control)}, error);
-  if (!error) asio::write(s, asio::buffer(std::string("GET /ready HTTP/1.1\r\n\r\n")), error);
-  std::string heard;
-  if (!error) asio::read_until(s, asio::dynamic_buffer(heard), "\r\n", error);
-  return heard.starts_with("HTTP/1.1 200");
-}
+bool says_yes(int control) { return page(control, "/ready").starts_with("HTTP/1.1 200"); }
 
 }  // namespace
 
