--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -603,8 +603,7 @@
     const bool off = line.state != standing::serving, again = !fresh && line.started > s.line.started;
     s.line = line;
     s.line.size = terms.sizes_told && line.size > 0 ? line.size : 1;
-    s.known = true;
-    s.kind = &kinds[line.kind];
+    s.known = true, s.kind = &kinds[line.kind];
     s.told_off = !off ? -1 : s.told_off < 0 ? now : s.told_off;
     if (fresh || again) start_anew(s);
     if (fresh) s.chosen_at = calls;
