--- a/src/model/load.cpp
+++ b/src/model/load.cpp
@@ -68,8 +68,9 @@
   return whole + (own.hits(mean - whole) ? 1 : 0);
 }
 
-micros patience(const Manners& m, const SchemeOf& s, int n) {
-  return n >= m.retries ? s.expiry : micros(m.try_share * double(s.expiry));
+micros patience(const Manners& m, const SchemeOf& s, int n, micros since) {
+  const micros wait = n >= m.retries ? s.expiry : micros(m.try_share * double(s.expiry));
+  return m.marks ? std::min(wait, s.expiry - since) : wait;
 }
 
 micros again(const Manners& m, const SchemeOf& s, int n, heard how, micros come_back, micros asked, micros now,
--- a/src/model/load.h
+++ b/src/model/load.h
@@ -63,6 +63,7 @@
   bool doubling = true;
   double heeds = 0.85;  // share of the advice to come back later that is followed
   micros longest_advice = 1'200'000;
+  bool marks = false;  // repeats are marked as such, and all tries of a txn together wait no longer than its expiry
 };
 
 enum class heard { settled, declined, failed, unreachable, nothing };  // unreachable: the node took nothing
@@ -71,7 +72,7 @@
 // try went out. A once-only txn is tried again only after a decline or where no node took it.
 micros again(const Manners& m, const SchemeOf& s, int n, heard how, micros come_back, micros asked, micros now,
              Chance& chance);
-// How long the n-th try waits for its answer.
-micros patience(const Manners& m, const SchemeOf& s, int n);
+// How long the n-th try waits for its answer, so long after the first went out.
+micros patience(const Manners& m, const SchemeOf& s, int n, micros since = 0);
 
 }  // namespace robinpin::model
--- a/src/rehearse/plan.cpp
+++ b/src/rehearse/plan.cpp
@@ -118,7 +118,8 @@
             {"wait", span(c.wait, "clients.wait", 0)},
             {"doubling", yes(c.doubling, "clients.doubling")},
             {"heeds", num(c.heeds, "clients.heeds", 1, true)},
-            {"longest_advice", span(c.longest_advice, "clients.longest_advice", 0)}};
+            {"longest_advice", span(c.longest_advice, "clients.longest_advice", 0)},
+            {"marks", yes(c.marks, "clients.marks")}};
   }
   mapped net() {
     Net& n = plan_.net;
--- a/src/rehearse/stage.cpp
+++ b/src/rehearse/stage.cpp
@@ -590,15 +590,17 @@
     return t;
   }
 
-  std::string request(const std::string& id, int scheme, int tenant, micros left, const std::string& mark) const {
+  std::string request(const std::string& id, int scheme, int tenant, micros left, const std::string& mark,
+                      bool repeat = false) const {
     const auto& s = plan_.mix.schemes[std::size_t(scheme)];
     const std::string key = s.kind == repeats::referenced ? fmt::format("Idempotency-Key: {}\r\n", mark) : "";
     const std::string who =
         tenant >= 0 ? fmt::format("Tenant: {}\r\n", plan_.mix.tenants[std::size_t(tenant)].name) : "";
     return fmt::format(
         "{} /api HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: {}\r\nRequest-Class: {}\r\n{}{}"
-        "Request-Timeout-Ms: {}\r\nContent-Length: 0\r\n\r\n",
-        s.kind == repeats::repeatable ? "GET" : "POST", id, s.name, who, key, std::max<micros>(0, left / 1000));
+        "{}Request-Timeout-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+        s.kind == repeats::repeatable ? "GET" : "POST", id, s.name, who, key,
+        repeat ? "Client-Retry: 1\r\n" : "", std::max<micros>(0, left / 1000));
   }
 
   awaitable<void> call_next(BoxHost& b, std::uint64_t job, Try caller, std::size_t posting, int n, micros expiry,
@@ -772,7 +774,10 @@
     model::Chance chance(setup_.seed, "client", w.number);
     const std::string mark = fmt::format("{:016x}", model::mixed(setup_.seed ^ model::mixed(w.number)));
     for (int n = 0;; ++n) {
-      ++out_.history.deals[deal].tries;
+      Deal& asked = out_.history.deals[deal];
+      const micros wait = model::patience(plan_.clients, scheme, n, n > 0 ? now() - asked.asked : 0);
+      if (wait <= 0) break;
+      ++asked.tries;
       model::heard how = model::heard::unreachable;
       micros come_back = 0;
       if (NodeHost* node = front(w.hall, chance)) {
@@ -783,9 +788,8 @@
         t.node = node->number;
         t.txn = deal;
         t.sent = now();
-        const micros wait = model::patience(plan_.clients, scheme, n);
         t.expiry = t.sent + wait;
-        const std::string text = request(t.id, w.scheme, w.tenant, wait, mark);
+        const std::string text = request(t.id, w.scheme, w.tenant, wait, mark, n > 0 && plan_.clients.marks);
         const Heard h = co_await ask_for(std::move(t), *node, text);
         co_await sleep(plan_.net.client);
         come_back = h.come_back;
@@ -800,9 +804,9 @@
         d.answered = now();
         lately_served_ += 1;
       }
-      const micros wait = model::again(plan_.clients, scheme, n, how, come_back, d.asked, now(), chance);
-      if (wait < 0) break;
-      co_await sleep(wait);
+      const micros rest = model::again(plan_.clients, scheme, n, how, come_back, d.asked, now(), chance);
+      if (rest < 0) break;
+      co_await sleep(rest);
     }
     lately_asked_ += 1;
   }
@@ -1164,11 +1168,11 @@
       R"("Permissions":{{"MostPostings":{},"DialTimeout":{},"Keepalive":{},"Cancel":{},"SecondCopies":{},"RetryAfter":{},"MaxRetryAfter":{}}},)"
       R"("Guarantees":{{"AskEvery":{},"Cold":{},"ColdFrom":{},"TipMultiple":{},"OverloadFor":{},"DrainGrace":{}}},)"
       R"("Prices":{{"CrossZone":0.01,"Waste":0.2,"LateFail":0.06}},"Stats":{{"Names":["pending","busy_reqs","cpu_share","svc_ms"]}},)"
-      R"("Stages":[{}],"Tier":{},"Me":{},"PeersTotal":{},"Zone":"{}","Weights":"nominal","Discovery":"subscribe"}}}})",
+      R"("Callers":{{"MarksRetry":{}}},"Stages":[{}],"Tier":{},"Me":{},"PeersTotal":{},"Zone":"{}","Weights":"nominal","Discovery":"subscribe"}}}})",
       n.name, n.listen, n.discovery, n.seed, plan.memory_mb > 0 ? plan.memory_mb : 256, plan.sockets, n.known, schemes, tenants, p.most_postings,
       ms(p.dial), ms(p.keepalive), p.cancel, p.second_copies, p.retry_after, ms(plan.clients.longest_advice),
       ms(p.ask_every), ms(make.cold_for), make.cold_from, make.fall_multiple, ms(make.fall_window), ms(p.drain_grace),
-      stages, n.tier, n.me, n.nodes, n.zone);
+      plan.clients.marks, stages, n.tier, n.me, n.nodes, n.zone);
 }
 
 }  // namespace robinpin::rehearse
