--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -353,8 +353,8 @@
       return s;
     }
   }
-  // A node of a hundred answers knows to a tenth how slow they are (admitted()): its calls in flight stray by more
-  // than the room spares, and what it then declined would make its pace, and so its room, smaller still.
+  // A node of a hundred answers knows to a tenth how slow they are (admitted()): its calls in flight stray by
+  // more than the room spares, and what it then declined would make its pace, and so its room, smaller still.
   const bool few = terms.streams > 1 || settled_.read(now, memory) < 5 * calm_samples;
   if (terms.tier == 0 && few && in_flight >= std::max(1.0, room(1, settled_, worth))) return nullptr;
   const double mean = std::max(1.0, std::ceil(skip_factor * in_flight / near.size));
