A fleet's processes agree on registers: consensus, store, members, talk, orders

Need: leases and machines out for work stand on a record that several processes agree on; nodes shared nothing. Without [fleet] none of it is made.

--- a/src/config/file.h
+++ b/src/config/file.h
@@ -60,6 +60,21 @@
   Told<bool> repeats_marked, warm_keys;
 };
 
+// What ties this node to others of its fleet. Without a name nothing of it starts.
+struct Fleet {
+  struct Member {
+    At at;
+    Told<std::string> name, address;  // where this node finds it
+    Told<bool> voter;                 // one of the fleet's first voters
+  };
+  Told<std::string> name, me, hall, listen, store;  // me: else the node's name; store: a file; with it the node can vote
+  Told<micros> beat{1'000'000, {}};
+  Told<double> drift{0.01, {}};  // a machine's clock runs off by this share at the most
+  Told<bool> open;               // listen may be every address of the machine
+  std::vector<Member> members;
+  bool on() const { return name.said(); }
+};
+
 struct File {
   std::string path, hash;  // of its bytes, 16 hexadecimal digits
   Node node;
@@ -67,6 +82,7 @@
   Records records;
   Clients clients;
   Deployment deployment;
+  Fleet fleet;
   Limits defaults;
   std::vector<Route> routes;
 };
--- a/src/config/read.cpp
+++ b/src/config/read.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t most_routes = 10'000;
+constexpr std::size_t most_routes = 10'000, most_members = 4096, most_voters = 7;
 
 class Reader : private Keys {
  public:
@@ -19,6 +19,7 @@
            {"records", [&](auto& n) { part(n, "records", records_keys()); }},
            {"clients", [&](auto& n) { part(n, "clients", clients_keys()); }},
            {"deployment", [&](auto& n) { part(n, "deployment", deployment_keys()); }},
+           {"fleet", [&](auto& n) { part(n, "fleet", fleet_keys()); }},
            {"defaults", [&](auto& n) { part(n, "defaults", limit_keys(r_.file.defaults, "defaults")); }},
            {"route", [&](auto& n) { routes(n); }}});
   }
@@ -43,7 +44,7 @@
             {"fold", time(l.fold, "log.fold")},
             {"parts", [&](const toml::node& n) {
                Keys::mapped parts;
-               for (const char* part : {"node", "clients", "servers", "list", "config", "records"})
+               for (const char* part : {"node", "clients", "servers", "list", "config", "records", "fleet"})
                  parts[part] = [&l, this, part](const toml::node& said) {
                    Told<std::string> found;
                    level(found, std::string("log.parts.") + part)(said);
@@ -76,6 +77,28 @@
             {"warm_keys", flag(d.warm_keys, "deployment.warm_keys")}};
   }
 
+  mapped fleet_keys() {
+    Fleet& f = r_.file.fleet;
+    return {{"name", text(f.name, "fleet.name")},
+            {"me", text(f.me, "fleet.me")},
+            {"hall", text(f.hall, "fleet.hall")},
+            {"listen", text(f.listen, "fleet.listen")},
+            {"store", text(f.store, "fleet.store")},
+            {"beat", time(f.beat, "fleet.beat", 20'000, 60'000'000)},
+            {"drift", number(f.drift, "fleet.drift", 0.2, "no clock runs that true")},
+            {"open", flag(f.open, "fleet.open")},
+            {"member", [&](const toml::node& n) {
+               each(n, "fleet.member", most_members, [&](const toml::table& t, At at) {
+                 Fleet::Member& m = f.members.emplace_back();
+                 m.at = at;
+                 const std::string where = fmt::format("fleet.member {}", f.members.size());
+                 table(t, where, {{"name", text(m.name, in(where, "name"))},
+                                  {"address", text(m.address, in(where, "address"))},
+                                  {"voter", flag(m.voter, in(where, "voter"))}});
+               });
+             }}};
+  }
+
   mapped limit_keys(Limits& l, const std::string& where) {
     const auto key = [&](const char* name) { return in(where, name); };
     return {{"posting_timeout", time(l.posting_timeout, key("posting_timeout"))},
@@ -119,11 +142,55 @@
   Reading& r_;
 };
 
+// Names and addresses go into what voters agree on and into headers: plain words.
+bool plain(const std::string& s) {
+  return s.size() <= 64 && std::all_of(s.begin(), s.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+  });
+}
+
+bool numeric_address(const std::string& s) {
+  const auto colon = s.rfind(':');
+  if (colon == std::string::npos || colon == 0) return false;
+  const std::string port = s.substr(colon + 1);
+  const std::string host = s.substr(0, colon);
+  return !port.empty() && port.size() <= 5 && std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; }) &&
+         std::stoi(port) >= 1 && std::stoi(port) <= 65535 && host.find_first_not_of("0123456789abcdefABCDEF.:[]") == std::string::npos;
+}
+
+void sort_out_fleet(const Fleet& f, const std::function<void(At, std::string, std::string)>& fault) {
+  const bool any = f.listen.said() || f.store.said() || f.me.said() || !f.members.empty();
+  if (!f.on()) {
+    if (any) fault(f.listen.said() ? f.listen.at : f.store.said() ? f.store.at : f.me.said() ? f.me.at : f.members[0].at, "fleet.name", "is missing: which fleet is this a member of?");
+    return;
+  }
+  if (!plain(f.name.value)) fault(f.name.at, "fleet.name", "must be a plain word: letters, digits and -_.");
+  if (f.me.said() && !plain(f.me.value)) fault(f.me.at, "fleet.me", "must be a plain word: letters, digits and -_.");
+  if (!f.listen.said()) fault(f.name.at, "fleet.listen", "is missing: where other nodes reach this one, as \"10.0.0.7:7100\"");
+  if (f.listen.said() && !numeric_address(f.listen.value)) fault(f.listen.at, "fleet.listen", "must be a numeric address and port, as \"10.0.0.7:7100\"");
+  if (f.listen.said() && !f.open.value && (f.listen.value.starts_with("0.0.0.0:") || f.listen.value.starts_with("[::]:")))
+    fault(f.listen.at, "fleet.listen", "is every address of the machine, and who reaches it is believed: name the one of the inner network, or say open = true");
+  std::map<std::string, At> names;
+  std::size_t voters = 0;
+  for (const auto& m : f.members) {
+    if (!m.name.said() || !plain(m.name.value)) fault(m.name.said() ? m.name.at : m.at, "fleet.member name", "is missing or no plain word");
+    if (!m.address.said() || !numeric_address(m.address.value)) fault(m.address.said() ? m.address.at : m.at, "fleet.member address", "must be a numeric address and port");
+    if (const auto [it, fresh] = names.try_emplace(m.name.value, m.at); !fresh && m.name.said())
+      fault(m.name.at, "fleet.member name", fmt::format("stands in line {}, too", it->second.line));
+    voters += m.voter.value ? 1 : 0;
+  }
+  if (voters == 0) fault(f.name.at, "fleet.member", "none is a voter: say voter = true for three of them, or five, or seven");
+  if (voters > most_voters) fault(f.name.at, "fleet.member", fmt::format("{} voters are over the most, {}", voters, most_voters));
+}
+
 // What no house can make good: limits that contradict each other, names that stand twice.
 void sort_out(Reading& r) {
   const auto fault = [&](At at, std::string key, std::string what) {
     r.faults.push_back({at, std::move(key), std::move(what)});
   };
+  sort_out_fleet(r.file.fleet, fault);
+  if (const auto n = std::count_if(r.file.fleet.members.begin(), r.file.fleet.members.end(), [](const auto& m) { return m.voter.value; }); n > 0 && n % 2 == 0)
+    r.notes.push_back({r.file.fleet.name.at, "fleet.member", fmt::format("{} voters bear no more failures than {}", n, n - 1)});
   std::map<std::string, At> names{{"defaults", {}}};
   const auto limits = [&](const Limits& own, const Limits& all, const std::string& where, const std::string& dot) {
     // Told at the place where a fault is to be mended: the route's own word before the defaults'.
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -14,14 +14,14 @@
 
 namespace robinpin::log {
 
-enum class part { node, clients, servers, list, config, records };
+enum class part { node, clients, servers, list, config, records, fleet };
 enum class level { debug, info, warning, error, off };
-constexpr std::size_t parts = 6;
-constexpr std::array<const char*, parts> part_names = {"node", "clients", "servers", "list", "config", "records"};
+constexpr std::size_t parts = 7;
+constexpr std::array<const char*, parts> part_names = {"node", "clients", "servers", "list", "config", "records", "fleet"};
 
 struct Manner {
   bool json = false;
-  std::array<level, parts> least{level::info, level::info, level::info, level::info, level::info, level::info};
+  std::array<level, parts> least{level::info, level::info, level::info, level::info, level::info, level::info, level::info};
   std::chrono::milliseconds fold{10'000};  // a line that was written so short a time ago is counted, not written
 };
 
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -54,8 +54,10 @@
   if (got == reading::body_too_long) return page("413 Content Too Large", plain, "a call has no body\n");
   if (got != reading::complete || !call.clean() || call.connects()) return page("400 Bad Request", plain, "not HTTP/1.1\n");
   const std::string_view path = call.target().substr(0, call.target().find('?'));
-  if (path != "/ready" && path != "/metrics") return page("404 Not Found", plain, "no such page\n");
+  const bool fleet = path == "/fleet" && pages_.fleet;
+  if (path != "/ready" && path != "/metrics" && !fleet) return page("404 Not Found", plain, "no such page\n");
   if (call.method() != "GET") return page("405 Method Not Allowed", plain, "only GET\n");
+  if (fleet) return page("200 OK", "application/json", pages_.fleet());
   if (path == "/metrics") return page("200 OK", "text/plain; version=0.0.4; charset=utf-8", pages_.metrics());
   return pages_.ready() ? page("200 OK", plain, "ready\n") : page("503 Service Unavailable", plain, "not ready\n");
 }
--- a/src/node/control.h
+++ b/src/node/control.h
@@ -14,6 +14,7 @@
 struct Pages {
   std::function<bool()> ready;
   std::function<std::string()> metrics;
+  std::function<std::string()> fleet = nullptr;  // none: this node is of no fleet
 };
 
 class Control {
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 
 #include "../config/file.h"
+#include "fleet_orders.h"
 #include "node.h"
 
 #ifndef ROBINPIN_VERSION
@@ -116,6 +117,34 @@
   explains->add_option("--method", txn.method, "its method (default: that of its scheme)")->type_name("M");
   explains->add_option("--tenant", txn.tenant, "its tenant")->type_name("NAME");
 
+  auto* fleet = app.add_subcommand("fleet", "Orders to a running node of a fleet ([fleet] in its file).");
+  fleet->require_subcommand(1);
+  node::FleetOrder order;
+  const auto ordering = [&](const char* name, const char* help) {
+    auto* c = fleet->add_subcommand(name, help);
+    c->add_option("--config", order.config, "the node's file of ours")->required()->type_name("FILE");
+    c->add_option("--at", order.at, "another node's fleet listener")->type_name("ADDRESS:PORT");
+    c->add_flag("--json", order.json, "print one JSON object");
+    c->callback([&order, name] { order.what = name; });
+    return c;
+  };
+  ordering("init", "Found the fleet: the voters that the file names, each of them there, with a store of its own.");
+  ordering("status", "Who votes, who is heard, and whether a majority answers (exit code 1: none).");
+  auto* got = ordering("get", "Read a register, as fresh as a majority has it.");
+  got->add_option("name", order.name, "the register")->required();
+  auto* put = ordering("set", "Write a register, on the version that stands or on the one said.");
+  put->add_option("name", order.name, "the register")->required();
+  put->add_option("text", order.text, "its new text")->required();
+  put->add_option("--version", order.version, "only on this version");
+  auto* replaced = ordering("replace", "Another voter in one's place. A voter that lost its store is replaced by itself.");
+  replaced->add_option("old", order.remove, "the voter that goes")->required();
+  replaced->add_option("new", order.add, "the node that votes from then on")->required();
+  auto* added = ordering("add", "One voter more.");
+  added->add_option("new", order.add, "the node that votes from then on")->required();
+  auto* removed = ordering("remove", "One voter less.");
+  removed->add_option("old", order.remove, "the voter that goes")->required();
+  for (auto* c : {replaced, added, removed}) c->add_flag("--force", order.force, "also where no majority of live voters would be left");
+
   auto* version = app.add_subcommand("version", "Tell the version.");
 
   try {
@@ -128,6 +157,7 @@
     print("robinpin " ROBINPIN_VERSION "\n");
     return good;
   }
+  if (*fleet) return node::run(order);
   if (*checks) return check(file, terms, format == "json");
   if (*explains) return explain(file, terms, txn);
   return node::serve(file, variable_of);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -13,6 +13,7 @@
 #include "clients.h"
 #include "control.h"
 #include "figures.h"
+#include "fleet.h"
 #include "list.h"
 #include "routes.h"
 #include "twins.h"
@@ -64,14 +65,16 @@
         terms_(std::move(terms)),
         twins_(boot_.folder),
         facts_(ours && ours->file.records.path.said() ? kept(ours->file.records) : records::Facts()),
-        sockets_(boot_.most_sockets),
+        sockets_(boot_.most_sockets - (ours && ours->file.fleet.on() ? Fleet::descriptors_of(boot_.most_sockets) : 0)),
         routes_(boot_.house, counters_, facts_),
         desk_(io_, clock_, counters_, boot_.house.terms, boot_.seed, &facts_),
         servers_(io_, clock_, sockets_, counters_, boot_.house, boot_.most_answer),
         list_(io_, sockets_, counters_, desk_, servers_, boot_.discovery, std::chrono::seconds(2),
               std::chrono::microseconds(boot_.house.terms.ask_every), &facts_, boot_.seed),
         clients_(io_, clock_, sockets_, counters_, desk_, servers_, boot_.house, routes_),
-        control_(io_, {[this] { return clients_.takes(); }, [this] { return metrics(); }}),
+        fleet_(fleet_of(ours)),
+        control_(io_, {[this] { return clients_.takes(); }, [this] { return metrics(); },
+                       fleet_ ? std::function([this] { return fleet_->told(); }) : nullptr}),
         ends_(io_, SIGTERM, SIGINT),
         asks_(io_, SIGUSR1),
         renewals_(io_, SIGHUP) {
@@ -88,6 +91,11 @@
       control_.listen(*boot_.control);
       spawn([this] { return control_.accept(); });
     }
+    if (fleet_) {
+      fleet_->listen();
+      spawn([this] { return fleet_->accept(); });
+      spawn([this] { return fleet_->beat(); });
+    }
     spawn([this] { return desk_.tick(); });
     spawn([this] { return servers_.sweep(); });
     spawn([this] { return list_.follow(); });
@@ -112,6 +120,15 @@
             [](const std::string& trouble) { log::warning(log::part::records, "{}", trouble); }};
   }
 
+  std::unique_ptr<Fleet> fleet_of(const std::optional<config::Reading>& ours) {
+    if (!ours || !ours->file.fleet.on()) return nullptr;
+    const config::Fleet& f = ours->file.fleet;
+    return std::make_unique<Fleet>(io_, f,
+                                   Fleet::Identity{f.me.said() ? f.me.value : boot_.name, f.hall.said() ? f.hall.value : boot_.house.terms.zone,
+                                                   ROBINPIN_VERSION, ours->file.hash, boot_.house.terms.tier},
+                                   Fleet::descriptors_of(boot_.most_sockets), facts_);
+  }
+
   // What runs as long as the node begins anew after a failure: one part's must not take the others with it.
   void spawn(std::function<awaitable<void>()> part) {
     asio::co_spawn(io_, keep_up(std::move(part)), asio::detached);
@@ -179,7 +196,8 @@
 
   std::string metrics() {
     counters_.records_dropped = facts_.dropped();
-    return figures(counters_, boot_.house.scheme_names, {clients_.pending(), desk_.members(), desk_.avoided()});
+    return figures(counters_, boot_.house.scheme_names, {clients_.pending(), desk_.members(), desk_.avoided()}) +
+           (fleet_ ? fleet_->figures() : "");
   }
 
   awaitable<void> tell_folded() {
@@ -279,6 +297,7 @@
   Servers servers_;
   List list_;
   Clients clients_;
+  std::unique_ptr<Fleet> fleet_;  // none: this node is of no fleet
   Control control_;
   asio::signal_set ends_, asks_, renewals_;
 };
--- a/src/records/facts.cpp
+++ b/src/records/facts.cpp
@@ -189,6 +189,12 @@
   put(l.put("txn", txn));
 }
 
+void Facts::agreed(const char* how, const std::string& what, std::int64_t version) {
+  if (!on()) return;
+  Line l = begin("fleet");
+  put(l.put("how", how).put("text", what).put("version", version));
+}
+
 void Facts::configured(const std::string& hash, int version, const std::string& faults) {
   if (!on()) return;
   Line l = begin("configured");
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -74,6 +74,7 @@
   void posting_ended(const std::string& txn, int posting, const char* how, micros lag);
   void answered(const std::string& txn, const char* how, micros come_back, const char* why = "");
   void left(const std::string& txn);
+  void agreed(const char* how, const std::string& what, std::int64_t version);  // among the fleet's processes
   void configured(const std::string& hash, int version, const std::string& faults);  // none: accepted
 
  private:
