--- a/src/rehearse/main.cpp
+++ b/src/rehearse/main.cpp
@@ -9,7 +9,10 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <mutex>
+#include <thread>
 
+#include "fleet_stage.h"
 #include "report.h"
 
 namespace {
@@ -64,6 +67,61 @@
   }
 }
 
+// ---- fleets in trouble
+
+std::optional<std::string> fleet_text(const std::string& file) {
+  const auto text = config::settled_bytes(file);
+  return text && is_fleet_plan(*text) ? text : std::nullopt;
+}
+
+std::string folder(std::string out) {
+  if (!out.empty()) return out;
+  out = (std::filesystem::temp_directory_path() / "rehearse-XXXXXX").string();
+  return ::mkdtemp(out.data()) ? out : "";
+}
+
+int run_fleet(const FleetPlan& plan, const FleetSetup& setup, bool as_json, std::string& told) {
+  try {
+    const FleetOutcome o = play(plan, setup, [] { return interrupted != 0; });
+    const std::string whole = json(plan, o, setup.seed) + "\n";
+    std::ofstream(setup.out + "/report.json") << whole;
+    told = as_json ? whole : summary(plan, o, setup.seed);
+    return !o.void_because.empty() ? 3 : o.broken.empty() ? good : 1;
+  } catch (const std::exception& wrong) {
+    told = fmt::format("{} (seed {}): VOID: {}\n", plan.name, setup.seed, wrong.what());
+    return 3;
+  }
+}
+
+// So many seeds, some of them side by side; those that are not kept are told, and their folders stay.
+int many_fleets(const FleetPlan& plan, const FleetSetup& setup, int plays, int jobs) {
+  std::mutex lock;
+  int next = 0, kept = 0, broken = 0, voided = 0;
+  std::vector<std::thread> all;
+  for (int j = 0; j < jobs; ++j)
+    all.emplace_back([&] {
+      for (;;) {
+        FleetSetup own = setup;
+        {
+          const std::lock_guard held(lock);
+          if (next >= plays || interrupted != 0) return;
+          own.seed = setup.seed + std::uint64_t(next++);
+        }
+        own.out = fmt::format("{}/{}", setup.out, own.seed);
+        std::string told;
+        const int code = run_fleet(plan, own, false, told);
+        const std::lock_guard held(lock);
+        ++(code == 0 ? kept : code == 1 ? broken : voided);
+        if (code != 0) print(told + "  kept in " + own.out + "\n");
+        std::error_code none;
+        if (code == 0) std::filesystem::remove_all(own.out, none);
+      }
+    });
+  for (auto& t : all) t.join();
+  print(fmt::format("{}: {} plays kept, {} broken, {} void\n", plan.name, kept, broken, voided));
+  return broken > 0 ? 1 : voided > 0 ? 3 : good;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -113,6 +171,16 @@
   auto* sweep = app.add_subcommand("sweep", "Play a plan for each of a key's values and several seeds.");
   common(sweep);
   playing(sweep);
+  std::string preload = (std::filesystem::path(beside()).parent_path() / "librobinpin_mischief.so").string();
+  int jobs = 4, plays = 20;
+  auto* many = app.add_subcommand("plays", "Play a plan of a fleet over many seeds, some side by side.");
+  common(many);
+  playing(many);
+  many->add_option("--seed", seed, "the first")->capture_default_str();
+  many->add_option("--plays", plays, "so many")->check(CLI::Range(1, 100'000))->capture_default_str();
+  many->add_option("--jobs", jobs, "at once")->check(CLI::Range(1, 64))->capture_default_str();
+  for (auto* c : {run, many})
+    c->add_option("--preload", preload, "the library that breaks a daemon's clocks and disk (plans of fleets)")->type_name("FILE");
   sweep->add_option("--seeds", seeds, "so many")->check(CLI::Range(1, 100))->capture_default_str();
 
   try {
@@ -121,6 +189,29 @@
     return app.exit(wrong) == 0 ? good : misused;
   }
 
+  if (*run || *many || *check)
+    if (const auto text = fleet_text(file)) {
+      const FleetPlanRead r = read_fleet_plan(file, *text);
+      if (!r.good()) {
+        complain(config::text(file, r.faults));
+        return faulty;
+      }
+      if (*check) {
+        print(fmt::format("{}: good; {} voters of {} nodes, {} faults and {} drawn, {:.0f} s\n", file, r.plan.voters, r.plan.nodes, r.plan.breaches.size(), r.plan.drawn, double(r.plan.length) / 1e6));
+        return good;
+      }
+      FleetSetup setup{daemon, folder(out), std::filesystem::exists(preload) ? preload : "", seed};
+      if (*many) return many_fleets(r.plan, setup, plays, jobs);
+      std::string told;
+      const int code = run_fleet(r.plan, setup, as_json, told);
+      print(told + (as_json ? "" : "  kept in " + setup.out + "\n"));
+      return code;
+    }
+  if (*many) {
+    complain("plays takes a plan of a fleet\n");
+    return misused;
+  }
+
   if (*compare) {
     try {
       std::map<std::string, std::map<std::uint64_t, Kept>> by_folder;
