--- a/src/rehearse/fleet_stage.cpp
+++ b/src/rehearse/fleet_stage.cpp
@@ -74,6 +74,9 @@
   FleetStage(const FleetPlan& plan, const FleetSetup& setup)
       : plan_(plan), setup_(setup), chance_(setup.seed, "fleet"), ways_(io_), held_(io_) {
     draw_addresses();
+    // A folder that was used before must not bring its stores along: their registers have a past that no caller saw.
+    for (const auto& old : std::filesystem::directory_iterator(setup_.out))
+      if (old.path().filename().string().find(".store") != std::string::npos) std::filesystem::remove(old.path());
     for (int i = 0; i < plan_.nodes; ++i) {
       auto n = std::make_unique<Node>();
       n->name = fmt::format("n{}", i + 1);
@@ -262,6 +265,7 @@
 
   awaitable<void> deed(std::size_t at, Deed& d) {
     const bool writes = d.what == Deed::kind::write;
+    d.at = int(at);
     Out body;
     body.put("do", writes ? "set" : "get").put("name", d.where).put("within_ms", 1500);
     if (writes) body.put("version", d.expected).put("text", d.text);
@@ -648,7 +652,7 @@
   out.words("broken", o.broken);
   out.list("happened", o.happened, [](Out& h, const auto& one) { h.put("at_us", std::int64_t(one.first)).put("what", one.second); });
   out.list("deeds", o.deeds, [](Out& d, const Deed& one) {
-    d.put("caller", one.caller).put("where", one.where).put("what", one.what == Deed::kind::read ? "read" : "write").put("how", int(one.how));
+    d.put("caller", one.caller).put("at", one.at).put("where", one.where).put("what", one.what == Deed::kind::read ? "read" : "write").put("how", int(one.how));
     d.put("expected", one.expected).put("text", one.text).put("version", one.version).put("called_us", std::int64_t(one.called)).put("answered_us", std::int64_t(one.answered));
   });
   return out.end();
--- a/src/rehearse/linear.cpp
+++ b/src/rehearse/linear.cpp
@@ -108,11 +108,11 @@
 std::string told(const Deed& d) {
   const auto span = fmt::format("{:>10.3f} to {}", double(d.called) / 1000, d.answered < 0 || d.how == end::unknown ? "?" : fmt::format("{:.3f} ms", double(d.answered) / 1000));
   const auto stood = [&] { return d.version == 0 ? std::string("nothing") : fmt::format("version {} \"{}\"", d.version, d.text); };
-  if (d.what == kind::read) return fmt::format("{}  caller {} reads {}: {}", span, d.caller, d.where, stood());
+  if (d.what == kind::read) return fmt::format("{}  caller {} at n{} reads {}: {}", span, d.caller, d.at + 1, d.where, stood());
   const char* how = d.how == end::done ? "done" : d.how == end::unknown ? "unknown" : d.how == end::refused ? "refused" : "not done";
   return d.how == end::refused
-             ? fmt::format("{}  caller {} writes {} on version {}: refused, {} stands", span, d.caller, d.where, d.expected, stood())
-             : fmt::format("{}  caller {} writes {} on version {}: \"{}\", {}", span, d.caller, d.where, d.expected, d.text, how);
+             ? fmt::format("{}  caller {} at n{} writes {} on version {}: refused, {} stands", span, d.caller, d.at + 1, d.where, d.expected, stood())
+             : fmt::format("{}  caller {} at n{} writes {} on version {}: \"{}\", {}", span, d.caller, d.at + 1, d.where, d.expected, d.text, how);
 }
 
 Explained explain_history(const std::vector<Deed>& deeds, std::uint64_t most_states) {
--- a/src/rehearse/linear.h
+++ b/src/rehearse/linear.h
@@ -19,7 +19,7 @@
     unknown,  // a write that may have been done, may be done later, or never
     not_done
   };
-  int caller = 0;
+  int caller = 0, at = -1;  // at: the node that was asked
   std::string where;  // the register
   kind what = kind::read;
   end how = end::not_done;
--- a/tests/commands_test.cpp
+++ b/tests/commands_test.cpp
@@ -305,7 +305,7 @@
   CHECK(ended(node) == 0);
 }
 
-TEST_CASE("a node replaced under load loses no txn, sends none twice and turns none back; one killed half-way leaves it") {
+TEST_CASE("a node replaced under load loses no txn, sends none twice and turns none back, one killed half-way leaves it") {
   const Folder f;
   SlowServer server;
   asio::io_context io;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -105,7 +105,7 @@
   CHECK_THAT(faults(against(clients + fits, h)), Contains("2 tries and their waits after 3.2s"));
 }
 
-TEST_CASE("a time-out a millisecond over the client's patience, its two retries counted, is refused; at it, taken") {
+TEST_CASE("a time-out a millisecond over the client's patience, its two retries counted, is refused, at it, taken") {
   const std::string clients = "[clients]\npatience = \"3s\"\nretries = 2\nwait = \"150ms\"\n";
   CHECK(against(clients + route("scheme = \"pay\"\npostings = 2\nposting_timeout = \"450ms\"\n")).good());
   const auto over = against(clients + route("scheme = \"pay\"\npostings = 2\nposting_timeout = \"451ms\"\n"));
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -147,7 +147,7 @@
   CHECK(broken(with(asked(0), 2)) == 0);
 }
 
-TEST_CASE("rule 2: referenced outside its group or after its memory; two at once where forbidden; too many") {
+TEST_CASE("rule 2: referenced outside its group or after its memory, two at once where forbidden; too many") {
   Try abroad = asked(1);
   abroad.postings = {came(0, s), came(2, s + 100 * ms)};
   CHECK(broken(with(abroad)) == 2);
@@ -168,7 +168,7 @@
   CHECK(broken(with(copies), g) == 2);
 }
 
-TEST_CASE("rule 3: posted later than the grace after this node was told; another node's news is not its own") {
+TEST_CASE("rule 3: posted later than the grace after this node was told, another node's news is not its own") {
   Try t = asked(0);
   t.expiry = t.answered = 5 * s;
   t.postings = {came(0, 2 * s + 51 * ms, true, 3 * s)};
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -95,7 +95,7 @@
   CHECK(take_one(a, r, noon + 3600'000 * ms, back) == full::rate);
 }
 
-TEST_CASE("a limit lowered below what is in flight turns away until enough have ended; a removed route's end as they began") {
+TEST_CASE("a limit lowered below what is in flight turns away until enough have ended, a removed route's end as they began") {
   Route r = route("all");
   r.in_flight = 5;
   auto old = std::make_unique<Table>(std::vector<Route>{r, route("gone")});
@@ -181,7 +181,7 @@
   CHECK(b.txn_taken(noon, "2", 0, -1, 1200 * ms, 0, full).finals.at(0).come_back == 1200 * ms);
 }
 
-TEST_CASE("a posting waits as long as its route says; a once-only one that ran out of it is reversed at once") {
+TEST_CASE("a posting waits as long as its route says, a once-only one that ran out of it is reversed at once") {
   auto b = with_servers();
   Allowed short_wait;
   short_wait.wait = 400 * ms;
--- a/tests/model_test.cpp
+++ b/tests/model_test.cpp
@@ -81,7 +81,7 @@
   CHECK((w.ended["a"].first == done::served && w.ended["a"].second == 250 * ms));
 }
 
-TEST_CASE("a cold box warms evenly; one that is sent far more than it can do falls over and says by whom") {
+TEST_CASE("a cold box warms evenly, one that is sent far more than it can do falls over and says by whom") {
   Make m = plain();
   m.cold_from = 0.25;
   m.cold_for = 10 * s;
@@ -164,7 +164,7 @@
   CHECK(w.box.work_done == Approx(150 * ms));
 }
 
-TEST_CASE("half the machine taken doubles the time; a hanging box answers when it is let go") {
+TEST_CASE("half the machine taken doubles the time, a hanging box answers when it is let go") {
   World w;
   w.box.take_away(0.5);
   w.send("1", 100 * ms);
@@ -219,7 +219,7 @@
   CHECK(list.call(0) == -1);
 }
 
-TEST_CASE("the same seed draws the same afternoon; another fault or rate shifts no txn's own draw") {
+TEST_CASE("the same seed draws the same afternoon, another fault or rate shifts no txn's own draw") {
   Mix mix;
   mix.schemes = {{"view"}, {"pay"}};
   mix.halls = {1, 1};
--- a/tests/rehearse_test.cpp
+++ b/tests/rehearse_test.cpp
@@ -118,7 +118,7 @@
   CHECK_THAT(config::text("p", read_plan("p", small, {"load"}).faults), Contains("no key=value"));
 }
 
-TEST_CASE("a daemon that floods its log neither waits nor fills the disk; one that ignores SIGTERM is ended") {
+TEST_CASE("a daemon that floods its log neither waits nor fills the disk, one that ignores SIGTERM is ended") {
   const Folder f;
   asio::io_context io;
   Daemon d(io);
--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -38,7 +38,7 @@
 
 // Busy nodes of a fleet, a few of whom carry much of it, declined a fifth at calm answers: their calls in flight stray by more
 // than the room in all allows, and what it declines makes the pace, and so the room, smaller still.
-TEST_CASE("a node of many answers is limited by how slow they are, not by its calls in flight; one of few by these") {
+TEST_CASE("a node of many answers is limited by how slow they are, not by its calls in flight, one of few by these") {
   const int answers = GENERATE(5, 200);
   Terms t = terms();
   t.sizes_told = true;
