A store's failure is told before its answers; the kit's last look at who votes

Cause: Store::run set the reason after the answers; come_back had a co_await inside a conditional, whose temporary this compiler ends early. Change: the reason is set first; the co_await stands by itself.

--- a/src/rehearse/fleet_stage.cpp
+++ b/src/rehearse/fleet_stage.cpp
@@ -546,8 +546,9 @@
       if (d) votes = int(read::need(*d, "voters").Size());
       if (votes != s.plan_.voters) not_voting = fmt::format("{} voters at the end, not {}", votes, s.plan_.voters);
       for (std::size_t i = 0; i < s.nodes_.size(); ++i) {
-        const auto own = s.nodes_[i]->stores ? co_await s.status(i) : nullptr;
-        const std::string vote = own ? read::text(*own, "vote", "") : "votes";
+        if (!s.nodes_[i]->stores) continue;
+        const auto own = co_await s.status(i);
+        const std::string vote = own ? read::text(*own, "vote", "") : "silent";
         if (vote != "votes" && vote != "no seat") not_voting = fmt::format("{} at the end: {}", s.nodes_[i]->name, vote);
       }
       done = true;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -284,14 +284,16 @@
         failure = wrong.what();
       }
     const auto took = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - begun).count();
-    for (const auto& [change, then] : together) then(failure.empty());
     held.lock();
-    w.failure = failure;
+    w.failure = failure;  // before anybody is told that it failed: who is, asks why
     if (writes > 0 && failure.empty()) {
       ++w.figures.commits;
       w.figures.writes += writes;
       w.figures.longest_us = std::max(w.figures.longest_us, std::uint64_t(took));
     }
+    held.unlock();
+    for (const auto& [change, then] : together) then(failure.empty());
+    held.lock();
   }
 }
 
