A node of a fleet that is told to end no longer touches sockets that are gone

Seen: with the sanitizers each of five nodes of a play ended with exit code 1 at SIGTERM (the kit's new look at how they end); plays before ended them by SIGKILL only. Cause: Fleet held the count of its sockets, and io_ destroys connections that give their place back after Fleet is gone (Node's members, their order). Change: the count lives in Node, before io_, as the other one does; plays with all_vote end their nodes as told and want exit code 0. Measured: the play passes under the sanitizers, failed before.

--- a/src/node/fleet.cpp
+++ b/src/node/fleet.cpp
@@ -32,13 +32,13 @@
   return micros(t.tv_sec) * 1'000'000 + t.tv_nsec / 1000;
 }
 
-Fleet::Fleet(asio::io_context& io, const config::Fleet& said, Identity me, int descriptors, records::Facts& facts)
+Fleet::Fleet(asio::io_context& io, Sockets& sockets, const config::Fleet& said, Identity me, records::Facts& facts)
     : io_(io),
       said_(said),
       me_(std::move(me)),
       incarnation_(drawn()),
       facts_(facts),
-      sockets_(descriptors),
+      sockets_(sockets),
       store_(said.store.said() ? std::make_unique<store::Store>(said.store.value, said.name.value, me_.name) : nullptr),
       draw_(std::random_device{}()),
       agreement_(io, me_.name + "/" + incarnation_, draw_(),
--- a/src/node/fleet.h
+++ b/src/node/fleet.h
@@ -28,8 +28,8 @@
     std::string name, hall, version, config;
     int tier = 0;
   };
-  // Opens the store. Throws store::refused with the reason.
-  Fleet(asio::io_context& io, const config::Fleet& said, Identity me, int descriptors, records::Facts& facts);
+  // `sockets` outlive `io` and what it still holds at the end. Opens the store. Throws store::refused with the reason.
+  Fleet(asio::io_context& io, Sockets& sockets, const config::Fleet& said, Identity me, records::Facts& facts);
   ~Fleet();
   void listen();  // throws if it can't
   awaitable<void> accept() { return listener_.accept(); }
@@ -76,7 +76,7 @@
   const Identity me_;
   const std::string incarnation_;
   records::Facts& facts_;
-  Sockets sockets_;
+  Sockets& sockets_;
   std::unique_ptr<store::Store> store_;
   std::optional<consensus::Voter> voter_;
   std::uint64_t lasting_ = 0;  // of the voter's counter
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -65,6 +65,7 @@
         terms_(std::move(terms)),
         twins_(boot_.folder),
         facts_(ours && ours->file.records.path.said() ? kept(ours->file.records) : records::Facts()),
+        fleet_sockets_(Fleet::descriptors_of(boot_.most_sockets)),
         sockets_(boot_.most_sockets - (ours && ours->file.fleet.on() ? Fleet::descriptors_of(boot_.most_sockets) : 0)),
         routes_(boot_.house, counters_, facts_),
         desk_(io_, clock_, counters_, boot_.house.terms, boot_.seed, &facts_),
@@ -123,10 +124,10 @@
   std::unique_ptr<Fleet> fleet_of(const std::optional<config::Reading>& ours) {
     if (!ours || !ours->file.fleet.on()) return nullptr;
     const config::Fleet& f = ours->file.fleet;
-    return std::make_unique<Fleet>(io_, f,
+    return std::make_unique<Fleet>(io_, fleet_sockets_, f,
                                    Fleet::Identity{f.me.said() ? f.me.value : boot_.name, f.hall.said() ? f.hall.value : boot_.house.terms.zone,
                                                    ROBINPIN_VERSION, ours->file.hash, boot_.house.terms.tier},
-                                   Fleet::descriptors_of(boot_.most_sockets), facts_);
+                                   facts_);
   }
 
   // What runs as long as the node begins anew after a failure: one part's must not take the others with it.
@@ -290,7 +291,7 @@
   Counters counters_;
   const Twins twins_;
   records::Facts facts_;
-  Sockets sockets_;  // outlives what io_ still holds at the end
+  Sockets fleet_sockets_, sockets_;  // outlive what io_ still holds at the end
   Routes routes_;
   asio::io_context io_{1};
   Desk desk_;
--- a/src/rehearse/fleet_stage.cpp
+++ b/src/rehearse/fleet_stage.cpp
@@ -113,6 +113,7 @@
     ending_ = true;
     until([&] { return calling_ == 0; }, 10s);
     last_reads();
+    if (plan_.expect.all_vote.value) end_as_told();
     for (auto& n : nodes_) n->daemon->kill();
     judge();
     return std::move(out_);
@@ -572,6 +573,15 @@
     if (!until([&] { return done; }, 15s) && out_.void_because.empty()) out_.broken.push_back("registers can't be read at the end");
   }
 
+  // A node of a fleet that is told to end, with calls of others on its hands, ends like any other.
+  void end_as_told() {
+    for (auto& n : nodes_) n->daemon->tell(SIGTERM);
+    until([&] { return std::none_of(nodes_.begin(), nodes_.end(), [](auto& n) { return n->daemon->running(); }); }, 15s);
+    for (auto& n : nodes_)
+      if (n->daemon->running() || n->daemon->ended().value_or(-1) != 0)
+        out_.broken.push_back(fmt::format("{} was told to end: {}", n->name, n->daemon->running() ? "it runs on" : fmt::format("exit code {}", n->daemon->ended().value_or(-1))));
+  }
+
   void judge() {
     std::vector<double> writes, reads;
     std::vector<micros> stood{0};
