--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -59,6 +59,10 @@
     CHECK(o.value.by == "x");
     CHECK(f.run(writes(0, "y"), 4, {"B", "C"}).how == fate::refused);
   }
+  SECTION("a write that is refused by it has finished it: what was told stands for everybody") {
+    CHECK(f.run(writes(0, "y"), 3, {"A", "B"}).how == fate::refused);
+    CHECK(f.run({wish::read, "r", 0, "", ""}, 4, {"B", "C"}).value.by == "x");
+  }
   SECTION("those who do not are asked: another value stands, and it never comes back") {
     CHECK(f.run(writes(0, "y"), 3, {"B", "C"}).how == fate::chosen);
     const Outcome o = f.run({wish::read, "r", 0, "", ""}, 4);
