fleet set writes on no version that it could not read; status before founding asks nobody

Change: such a read ends the order with its reason; before there are voters a node tells its own members.

--- a/src/node/fleet.cpp
+++ b/src/node/fleet.cpp
@@ -393,7 +393,8 @@
       if (voter_ && s.store == voter_->memory().store) return true;
     return false;
   };
-  if (seat()) co_return const_cast<Fleet*>(this)->members_.all(span_clock());
+  // Before there are voters nobody knows more than this node, and those asked would ask in turn.
+  if (seat() || agreement_.voters().version == 0) co_return members_.all(span_clock());
   for (const auto& address : voter_addresses()) {
     const auto to = caller(address);
     if (!to) continue;
--- a/src/node/fleet_orders.cpp
+++ b/src/node/fleet_orders.cpp
@@ -92,7 +92,13 @@
           complain(a.how == peer::came::answered ? a.body + "\n" : fmt::format("{}: {}\n", node.at, peer::word(a.how)));
           return faulty;
         }
-        version = peer::count(peer::parsed(a.body), "version");
+        // What could not be read has no version: to write on none might make a register that another majority has.
+        const auto stands = peer::parsed(a.body);
+        if (const std::string how = read::text(stands, "how", ""); how != "chosen") {
+          complain(how + "\n");
+          return faulty;
+        }
+        version = peer::count(stands, "version");
       }
       body.put("version", version);
     }
