The gate beside a server holds back what would be answered after its aim

Change: the gate foresees an answer by calls at work and the time of those that did not wait, holds back what would miss 0.8 of its aim (the highest rank: of its deadline, others leave half of that free), no arrival, so that the caller's node tries others and declines at once; a node that ends answers all by 0.8 of grace_period and exits without unwinding.

--- a/src/ambit/carry.cpp
+++ b/src/ambit/carry.cpp
@@ -225,6 +225,7 @@
   ++counts_.taken;
   limits::Taken taken;
   taken.allowed.two_at_once = false;
+  t->aim_at = clock_.now() + std::max<micros>(0, t->channel->aim - std::max<micros>(0, t->channel->deadline - left));
   t->visit = t->desk->take(fmt::format("{}", ++number_), row, -1, clock_.now(), left, 0, std::move(taken), {});
   co_return co_await run(c, t, gone);
 }
@@ -291,10 +292,12 @@
   }
   const micros begun = clock_.now(), left = t->visit->expiry - begun;
   auto parcel = std::make_shared<Parcel>(*t->parcel);
-  parcel->headers = fmt::format("{}X-Remaining-Ms: {}\r\n{}: {}\r\n", t->common, std::max<micros>(1, (left - closing_margin) / 1000), instance_header, order.server);
+  const gate::Gate::Asked asked{t->channel->rank, std::max<micros>(0, t->aim_at - begun), left};
+  parcel->headers = fmt::format("{}X-Remaining-Ms: {}\r\n{}: {}\r\n{}: {}\r\n{}: {}\r\n", t->common, std::max<micros>(1, (left - closing_margin) / 1000),
+                                instance_header, order.server, rank_header, asked.rank, aim_header, asked.to_aim / 1000);
   ++t->offered;
   if (repeat) ++counts_.further;
-  auto result = std::make_shared<Result>(co_await forward(errand, parcel, order.server, clock_.at(t->visit->expiry)));
+  auto result = std::make_shared<Result>(co_await forward(errand, parcel, order.server, asked, clock_.at(t->visit->expiry)));
   const micros lag = clock_.now() - begun;
   ending how = ending::error;
   switch (result->how) {
@@ -325,9 +328,10 @@
   t->desk->report(t->visit, order.posting, how, std::max<micros>(1, lag), nullptr);
 }
 
-awaitable<Result> Carry::forward(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string server, steady::time_point until) {
+awaitable<Result> Carry::forward(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string server, gate::Gate::Asked asked,
+                                 steady::time_point until) {
   const rumour::Machine machine = choices_.machine(server);
-  if (machine == self_) co_return co_await hand_.take(errand, parcel, std::move(server), until);
+  if (machine == self_) co_return co_await hand_.take(errand, parcel, std::move(server), asked, until);
   Result r;
   if (machine == 0) {
     r.how = outcome::held;
@@ -366,6 +370,7 @@
     std::string instance(m.header(instance_header));
     const bool probes = !m.header("X-Mesh-Probe").empty();
     const micros left = std::max<long long>(0, codec::whole_number(m.header("X-Remaining-Ms"))) * 1000;
+    const gate::Gate::Asked asked{int(codec::whole_number(m.header(rank_header))), std::max<long long>(0, codec::whole_number(m.header(aim_header))) * 1000, left};
     const std::string_view listed = m.header("Connection");
     for (std::size_t i = 0; i < m.headers(); ++i) {
       const auto [name, value] = m.header(i);
@@ -386,7 +391,7 @@
           gone = true;
           errand->call_off();
         });
-        r = co_await hand_.take(errand, parcel, std::move(instance), steady::now() + std::chrono::microseconds(left + closing_margin));
+        r = co_await hand_.take(errand, parcel, std::move(instance), asked, steady::now() + std::chrono::microseconds(left + closing_margin));
       }
       if (r.how == outcome::answered || r.how == outcome::refused) {
         a = passed_on(r.fate);
--- a/src/ambit/carry.h
+++ b/src/ambit/carry.h
@@ -27,6 +27,8 @@
   void ready(bool is) { ready_ = is; }
   // From now on every answer is the last on its connection, and idle ones are closed after a while.
   void ends();
+  // What is still at work gets its answer by then.
+  void end_by(micros at) { choices_.end_by(at); }
   std::size_t pending() const { return pending_; }
   void sweep();
 
@@ -47,6 +49,7 @@
     std::string service;
     node::Desk* desk = nullptr;
     node::Desk::visit visit;
+    micros aim_at = 0;
     int offered = 0, arrivals = 0;  // forwarded; that reached a server
     bool may_have_run = false;
     std::shared_ptr<Result> last;  // what a server answered last, if not good
@@ -63,7 +66,8 @@
   awaitable<Answer> answer_to(std::shared_ptr<Connection> c, bool& gone);
   awaitable<Answer> run(std::shared_ptr<Connection> c, trip t, bool& gone);
   awaitable<void> post(trip t, node::Order order);
-  awaitable<Result> forward(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string server, steady::time_point until);
+  awaitable<Result> forward(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string server, gate::Gate::Asked asked,
+                            steady::time_point until);
   awaitable<void> probe(node::Desk* desk, std::string server);
   Answer own(int status, std::string_view fault, micros come_back = 0);
   static Answer passed_on(const Fate& f);
--- a/src/ambit/choices.h
+++ b/src/ambit/choices.h
@@ -34,6 +34,10 @@
   void servers(const rumour::Roll& roll, const creed::Plan& plan, std::int64_t now);
   // Where a server is; 0: not known.
   rumour::Machine machine(const std::string& server) const;
+  void end_by(micros at) {
+    for (auto& [name, c] : choices_)
+      if (c.desk) c.desk->end_by(at);
+  }
   std::size_t nodes() const { return nodes_; }
 
  private:
--- a/src/ambit/hand.cpp
+++ b/src/ambit/hand.cpp
@@ -25,29 +25,44 @@
 
 std::int64_t Hand::now() const { return steady_now(); }
 
+void Hand::plan(std::shared_ptr<const creed::Plan> plan) {
+  plan_ = std::move(plan);
+  highest_deadlines_.clear();
+  for (const auto& [host, channels] : plan_->hosts)
+    for (const auto& [prefix, c] : channels)
+      for (const creed::Share& s : c.shares)
+        if (c.rank <= 0) {
+          auto& d = highest_deadlines_[s.service];
+          d = d == 0 ? c.deadline : std::min(d, c.deadline);
+        }
+}
+
 gate::Gate::Bounds Hand::bounds() const {
   gate::Gate::Bounds b;
   if (const auto s = plan_->services.find(gate_.server().service); s != plan_->services.end()) {
     b.warmup_per_s = s->second.warmup_per_s;
     b.conn_limit = s->second.conn_limit;
   }
+  if (const auto d = highest_deadlines_.find(gate_.server().service); d != highest_deadlines_.end()) b.highest_deadline = d->second;
   b.emptied = plan_->emptied.contains(settings_.zone);
   return b;
 }
 
-awaitable<Result> Hand::take(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string instance, steady::time_point until) {
+awaitable<Result> Hand::take(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string instance,
+                             gate::Gate::Asked asked, steady::time_point until) {
   Result r;
-  const gate::held why = gate_.verdict(now(), instance, bounds());
+  const gate::held why = gate_.verdict(now(), instance, bounds(), asked);
   if (why != gate::held::none) {
     r.how = outcome::held;
     r.why = gate::names[std::size_t(why)];
     co_return r;
   }
   if (last_instance_ != gate_.server().id) way_.forget(), last_instance_ = gate_.server().id;
+  const int beside = gate_.at_work();
   gate_.sent(now());
   r.fate = co_await way_.carry(errand, parcel, until);
-  gate_.ended();
   Fate& f = r.fate;
+  gate_.ended(beside, f.how_far == came::answered && f.status < 300 ? f.lag : 0);
   if (f.how_far < came::written) {
     r.how = outcome::held;
     r.why = "unreachable";
--- a/src/ambit/hand.h
+++ b/src/ambit/hand.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,6 +30,7 @@
 };
 
 // Headers between nodes; they never leave the mesh.
+constexpr std::string_view rank_header = "X-Mesh-Rank", aim_header = "X-Mesh-Aim-Ms";
 constexpr std::string_view held_header = "X-Mesh-Held", broke_header = "X-Mesh-Broke", instance_header = "X-Target-Instance";
 inline bool of_mesh(std::string_view name) { return name.size() > 7 && codec::same_name(name.substr(0, 7), "X-Mesh-"); }
 
@@ -37,12 +39,13 @@
   Hand(asio::io_context& io, Sockets& sockets, const ground::Settings& settings, tcp::endpoint application);
 
   // `instance`: the server that the caller means. Until `until` at the latest.
-  awaitable<Result> take(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string instance, steady::time_point until);
+  awaitable<Result> take(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string instance, gate::Gate::Asked asked,
+                         steady::time_point until);
   // Asks the server how it is, on the path of its service. Nothing where it can't be asked.
   awaitable<std::optional<Fate>> probe(std::string instance, steady::duration limit);
 
   gate::Gate& door() { return gate_; }
-  void plan(std::shared_ptr<const creed::Plan> plan) { plan_ = std::move(plan); }
+  void plan(std::shared_ptr<const creed::Plan> plan);
   void sweep() { way_.sweep(); }
   std::int64_t now() const;
 
@@ -53,6 +56,7 @@
   gate::Gate gate_;
   std::shared_ptr<const creed::Plan> plan_;
   std::string last_instance_;
+  std::map<std::string, std::int64_t> highest_deadlines_;  // by service
 };
 
 // The steady clock in microseconds.
--- a/src/chronicle/chronicle.h
+++ b/src/chronicle/chronicle.h
@@ -19,6 +19,7 @@
   leapt = 102,          // the steady clock leapt: this process stood still
   settings = 103,       // the settings file was read again
   settings_faulty = 104,
+  ended = 105,          // the process ends now
   ready = 110,          // ready for clients
   unready = 111,
   server_up = 200,      // the server beside this node began a life
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -2,6 +2,7 @@
 // what holds for a server over all machines is kept at one place. Free of I/O, told the time.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -27,7 +28,16 @@
     double warmup_per_s = 0;  // 0: not told
     int conn_limit = 100;
     bool emptied = false;  // the zone
+    std::int64_t highest_deadline = 0;  // the shortest of routes of the highest rank to this service; 0: there are none
   };
+  struct Asked {  // by one request
+    int rank = 0;
+    std::int64_t to_aim = 0, to_deadline = 0;  // microseconds left
+  };
+  // Of the time that a request has, so much at the most may pass before its answer is foreseen.
+  static constexpr double foreseen_part = 0.8;
+  // Those of lower ranks leave so much of the time of the highest free.
+  static constexpr double lower_part = 0.5;
   static constexpr std::int64_t second = 1'000'000;
 
   // What a server says of itself. False for a late beat of the life at hand.
@@ -53,22 +63,38 @@
   bool cold(std::int64_t now) const { return now < server_.cold_until || now < doubted_until_; }
   int at_work() const { return at_work_; }
 
-  held verdict(std::int64_t now, const std::string& instance, const Bounds& b) {
+  held verdict(std::int64_t now, const std::string& instance, const Bounds& b, const Asked& asked) {
     if (!has_server()) return held::no_server;
     if (!instance.empty() && instance != server_.id) return held::other_instance;
     if (server_.draining) return held::draining;
     if (b.emptied) return held::emptied;
     if (cold(now) && b.warmup_per_s > 0 && int(recent(now)) >= cold_room(b)) return held::cold;
     if (at_work_ >= b.conn_limit - 2) return held::crowded;  // a probe and one that is being closed
+    if (at_work_ >= server_.slots && foreseen() > patience(b, asked)) return held::crowded;
     return held::none;
   }
+  // When one more would have its answer, by what calls took that did not wait.
+  double foreseen() const { return double(at_work_ + 1) / server_.slots * service_; }
+  // The highest rank is of calls whose caller has worked already: it has until its deadline. Others are of use until
+  // their aim, and never so many that the highest would be late behind them.
+  static double patience(const Bounds& b, const Asked& a) {
+    if (a.rank <= 0) return foreseen_part * double(a.to_deadline);
+    const double own = foreseen_part * double(a.to_aim);
+    return b.highest_deadline > 0 ? std::min(own, lower_part * foreseen_part * double(b.highest_deadline)) : own;
+  }
   // It goes to the server now.
   void sent(std::int64_t now) {
     sent_.push_back(now);
     if (sent_.size() > most_recent) sent_.pop_front();
     ++at_work_;
   }
-  void ended() { --at_work_; }
+  // `beside`: at work there when it was sent; `lag`: how long it took, 0 where it got no answer.
+  void ended(int beside, std::int64_t lag) {
+    --at_work_;
+    if (lag <= 0) return;
+    const double alone = double(lag) / std::max(1.0, double(beside + 1) / server_.slots);
+    service_ = service_ <= 0 ? alone : service_ + (alone - service_) / samples;
+  }
   // When a cold server may get its next, at the earliest.
   std::int64_t next_room(std::int64_t now) const { return sent_.empty() ? now : sent_.front() + second + slack; }
 
@@ -85,6 +111,8 @@
   bool gone_ = false;
   std::int64_t doubted_until_ = 0;
   int at_work_ = 0;
+  static constexpr double samples = 30;
+  double service_ = 0;  // mean time at work of one that does not wait, microseconds
   std::deque<std::int64_t> sent_;  // of the last second
 };
 
--- a/src/mesh/ambit.cpp
+++ b/src/mesh/ambit.cpp
@@ -56,7 +56,7 @@
     begin();
     publish();
     io_.run();
-    return 0;
+    leave(0);
   }
 
  private:
@@ -152,6 +152,7 @@
     ending_ = true;
     least_end_ = now() + std::min<std::int64_t>(settings.grace / 2, 3'500'000);
     last_end_ = now() + settings.grace * 9 / 10;
+    carry_.end_by(clock_.now() + settings.grace * 8 / 10);
     carry_.ends();
     publish();
     settle_ready();
--- a/src/mesh/locus.cpp
+++ b/src/mesh/locus.cpp
@@ -56,7 +56,7 @@
     keep_.tick(now(), out);
     send(out);
     io_.run();
-    return failed_ ? 1 : 0;
+    leave(failed_ ? 1 : 0);
   }
 
  private:
--- a/src/mesh/role.cpp
+++ b/src/mesh/role.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <random>
 
 #include "../log/log.h"
@@ -69,9 +70,14 @@
   for (const auto& d : out) span_->send(d.to, d.bytes);
 }
 
+void Role::leave(int code) {
+  chronicle_.append(chronicle::event::ended, now(), fmt::format("code={}", code));
+  log::finish();
+  std::_Exit(code);
+}
+
 void Role::changed() {
   if (creed_.changes() == items_seen_ && rumour_.roll().changes() == records_seen_) return;
-  if (creed_.changes() != items_seen_) chronicle_.append(chronicle::event::items_taken, now(), fmt::format("items={} changes={}", creed_.items().size(), creed_.changes()));
   items_seen_ = creed_.changes();
   records_seen_ = rumour_.roll().changes();
   learnt();
@@ -91,6 +97,10 @@
       send(out);
     }
     ticked(leapt);
+    if (creed_.changes() != items_told_) {
+      items_told_ = creed_.changes();
+      chronicle_.append(chronicle::event::items_taken, at, fmt::format("items={} changes={}", creed_.items().size(), items_told_));
+    }
     tick();
   });
 }
--- a/src/mesh/role.h
+++ b/src/mesh/role.h
@@ -40,6 +40,8 @@
   virtual void told_to_end() = 0;
   // What was learnt may change what this process acts on.
   virtual void learnt() = 0;
+  // Ends the process without unwinding: coroutines at rest hold on to parts that would go before them.
+  [[noreturn]] void leave(int code);
   void changed();  // calls learnt() where the state or the roll has changed
 
   asio::io_context io_;
@@ -56,7 +58,7 @@
   asio::steady_timer timer_;
   asio::signal_set signals_;
   std::int64_t last_tick_ = 0;
-  std::uint64_t items_seen_ = 0, records_seen_ = 0;
+  std::uint64_t items_seen_ = 0, records_seen_ = 0, items_told_ = 0;
 };
 
 std::uint32_t chance_of(const ground::Settings& s);
