Routes of the shortest deadline wait longest at the gate

Change: who has the shortest deadline of a service's routes has until that; others are held back so that at most half of that time is queued.

--- a/src/ambit/carry.cpp
+++ b/src/ambit/carry.cpp
@@ -261,6 +261,7 @@
       case node::Order::what::declined:
       case node::Order::what::reversed:
       case node::Order::what::gone:
+        ++endings_[fmt::format("{}:given up {}", t->service, *held_out ? "held out" : gone ? "caller gone" : node::cause_names[std::size_t(order.why)])];
         for (auto& [n, errand] : t->out) errand->call_off();
         if (*held_out) {
           ++counts_.refused;
@@ -292,9 +293,9 @@
   }
   const micros begun = clock_.now(), left = t->visit->expiry - begun;
   auto parcel = std::make_shared<Parcel>(*t->parcel);
-  const gate::Gate::Asked asked{t->channel->rank, std::max<micros>(0, t->aim_at - begun), left};
+  const gate::Gate::Asked asked{t->channel->deadline, std::max<micros>(0, t->aim_at - begun), left};
   parcel->headers = fmt::format("{}X-Remaining-Ms: {}\r\n{}: {}\r\n{}: {}\r\n{}: {}\r\n", t->common, std::max<micros>(1, (left - closing_margin) / 1000),
-                                instance_header, order.server, rank_header, asked.rank, aim_header, asked.to_aim / 1000);
+                                instance_header, order.server, deadline_header, asked.deadline / 1000, aim_header, asked.to_aim / 1000);
   ++t->offered;
   if (repeat) ++counts_.further;
   auto result = std::make_shared<Result>(co_await forward(errand, parcel, order.server, asked, clock_.at(t->visit->expiry)));
@@ -321,6 +322,8 @@
       how = errand->off ? ending::withdrawn : result->why == "late" ? ending::timed_out : ending::reset;
       break;
   }
+  static constexpr const char* words[] = {"answered", "held", "refused", "unknown"};
+  ++endings_[fmt::format("{}:{} {}", t->service, words[int(result->how)], result->how == outcome::answered ? std::to_string(result->fate.status) : result->why)];
   t->done[order.posting] = result;
   const bool again = how != ending::settled && !t->visit->over();
   if (again && t->arrivals >= t->channel->tries) t->desk->no_further(t->visit);
@@ -370,7 +373,7 @@
     std::string instance(m.header(instance_header));
     const bool probes = !m.header("X-Mesh-Probe").empty();
     const micros left = std::max<long long>(0, codec::whole_number(m.header("X-Remaining-Ms"))) * 1000;
-    const gate::Gate::Asked asked{int(codec::whole_number(m.header(rank_header))), std::max<long long>(0, codec::whole_number(m.header(aim_header))) * 1000, left};
+    const gate::Gate::Asked asked{std::max<long long>(0, codec::whole_number(m.header(deadline_header))) * 1000, std::max<long long>(0, codec::whole_number(m.header(aim_header))) * 1000, left};
     const std::string_view listed = m.header("Connection");
     for (std::size_t i = 0; i < m.headers(); ++i) {
       const auto [name, value] = m.header(i);
--- a/src/ambit/carry.h
+++ b/src/ambit/carry.h
@@ -39,6 +39,8 @@
     std::uint64_t taken = 0, good = 0, failed = 0, refused = 0, further = 0, held = 0, own_4xx = 0, probes = 0;
   };
   const Counts& counts() const { return counts_; }
+  // How tries of this node's callers ended, by what the server's node said, and its own answers by why.
+  const std::map<std::string, std::uint64_t>& endings() const { return endings_; }
 
  private:
   struct Trip {  // one request on its way
@@ -91,6 +93,7 @@
   bool ready_ = false, ending_ = false;
   std::size_t pending_ = 0;
   Counts counts_;
+  std::map<std::string, std::uint64_t> endings_;  // a few dozen names at the most
 };
 
 }  // namespace robinpin::ambit
--- a/src/ambit/hand.cpp
+++ b/src/ambit/hand.cpp
@@ -27,14 +27,11 @@
 
 void Hand::plan(std::shared_ptr<const creed::Plan> plan) {
   plan_ = std::move(plan);
-  highest_deadlines_.clear();
+  shortest_.clear();
   for (const auto& [host, channels] : plan_->hosts)
     for (const auto& [prefix, c] : channels)
       for (const creed::Share& s : c.shares)
-        if (c.rank <= 0) {
-          auto& d = highest_deadlines_[s.service];
-          d = d == 0 ? c.deadline : std::min(d, c.deadline);
-        }
+        if (auto& d = shortest_[s.service]; d == 0 || c.deadline < d) d = c.deadline;
 }
 
 gate::Gate::Bounds Hand::bounds() const {
@@ -43,7 +40,7 @@
     b.warmup_per_s = s->second.warmup_per_s;
     b.conn_limit = s->second.conn_limit;
   }
-  if (const auto d = highest_deadlines_.find(gate_.server().service); d != highest_deadlines_.end()) b.highest_deadline = d->second;
+  if (const auto d = shortest_.find(gate_.server().service); d != shortest_.end()) b.shortest = d->second;
   b.emptied = plan_->emptied.contains(settings_.zone);
   return b;
 }
--- a/src/ambit/hand.h
+++ b/src/ambit/hand.h
@@ -30,7 +30,7 @@
 };
 
 // Headers between nodes; they never leave the mesh.
-constexpr std::string_view rank_header = "X-Mesh-Rank", aim_header = "X-Mesh-Aim-Ms";
+constexpr std::string_view deadline_header = "X-Mesh-Deadline-Ms", aim_header = "X-Mesh-Aim-Ms";
 constexpr std::string_view held_header = "X-Mesh-Held", broke_header = "X-Mesh-Broke", instance_header = "X-Target-Instance";
 inline bool of_mesh(std::string_view name) { return name.size() > 7 && codec::same_name(name.substr(0, 7), "X-Mesh-"); }
 
@@ -56,7 +56,7 @@
   gate::Gate gate_;
   std::shared_ptr<const creed::Plan> plan_;
   std::string last_instance_;
-  std::map<std::string, std::int64_t> highest_deadlines_;  // by service
+  std::map<std::string, std::int64_t> shortest_;  // by service
 };
 
 // The steady clock in microseconds.
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -28,16 +28,16 @@
     double warmup_per_s = 0;  // 0: not told
     int conn_limit = 100;
     bool emptied = false;  // the zone
-    std::int64_t highest_deadline = 0;  // the shortest of routes of the highest rank to this service; 0: there are none
+    std::int64_t shortest = 0;  // deadline of a route to this service; 0: there is none
   };
   struct Asked {  // by one request
-    int rank = 0;
+    std::int64_t deadline = 0;  // its route's
     std::int64_t to_aim = 0, to_deadline = 0;  // microseconds left
   };
   // Of the time that a request has, so much at the most may pass before its answer is foreseen.
   static constexpr double foreseen_part = 0.8;
-  // Those of lower ranks leave so much of the time of the highest free.
-  static constexpr double lower_part = 0.5;
+  // Others leave so much of the time of those with the shortest deadline free.
+  static constexpr double others_part = 0.5;
   static constexpr std::int64_t second = 1'000'000;
 
   // What a server says of itself. False for a late beat of the life at hand.
@@ -75,12 +75,12 @@
   }
   // When one more would have its answer, by what calls took that did not wait.
   double foreseen() const { return double(at_work_ + 1) / server_.slots * service_; }
-  // The highest rank is of calls whose caller has worked already: it has until its deadline. Others are of use until
-  // their aim, and never so many that the highest would be late behind them.
+  // Who has the shortest deadline can't come again: a server's calls, mostly, whose caller has worked already. They have
+  // until then; others are of use until their aim, and never so many that those would be late behind them.
   static double patience(const Bounds& b, const Asked& a) {
-    if (a.rank <= 0) return foreseen_part * double(a.to_deadline);
+    if (a.deadline <= b.shortest) return foreseen_part * double(a.to_deadline);
     const double own = foreseen_part * double(a.to_aim);
-    return b.highest_deadline > 0 ? std::min(own, lower_part * foreseen_part * double(b.highest_deadline)) : own;
+    return b.shortest > 0 ? std::min(own, others_part * foreseen_part * double(b.shortest)) : own;
   }
   // It goes to the server now.
   void sent(std::int64_t now) {
--- a/src/mesh/ambit.cpp
+++ b/src/mesh/ambit.cpp
@@ -109,6 +109,8 @@
       const bool was_emptied = plan_ && plan_->emptied.contains(settings.zone);
       plan_ = creed::plan_of(creed_);
       carry_.plan(plan_);
+      if (log::writes(log::part::node, log::level::debug))
+        for (const auto& [name, item] : creed_.items()) log::debug(log::part::node, "item {} {:08x}{} {}", name, item.version, item.dropped ? " dropped" : "", item.text);
       const bool emptied = plan_->emptied.contains(settings.zone);
       if (emptied != was_emptied) {
         chronicle_.append(emptied ? event::zone_emptied : event::zone_back, now(), settings.zone);
@@ -142,7 +144,14 @@
     }
     changed();
     settle_ready();
-    if (++ticks_ % 20 == 0) carry_.sweep();
+    if (++ticks_ % 20 == 0) {
+      carry_.sweep();
+      if (log::writes(log::part::node, log::level::debug)) {
+        std::string line;
+        for (const auto& [name, n] : carry_.endings()) line += fmt::format(" {}={};", name, n);
+        log::debug(log::part::node, "endings{}", line);
+      }
+    }
     if (ending_ && now() >= least_end_ && (carry_.pending() == 0 || now() >= last_end_)) io_.stop();
   }
 
