--- a/src/ambit/choices.cpp
+++ b/src/ambit/choices.cpp
@@ -7,6 +7,9 @@
 namespace {
 constexpr double slots_of_size_one = 2;  // the module takes a server of size one to work on so many at once
 constexpr int most_postings = 8;         // tries that were held back count there, and not in a route's tries
+// What a crossing between zones costs, as a part of what a call earns: the pages price it by bytes, dear on one site and
+// cheap on another, and tell processes nothing of it.
+constexpr double crossing = 0.1;
 
 std::tuple<int, micros, micros> key_of(const creed::Channel& c) { return {c.kind == creed::mode::idempotent ? 0 : 1, c.aim, c.deadline}; }
 }  // namespace
@@ -38,6 +41,7 @@
   t.cold_from = 0.2;
   t.tip_multiple = 2;
   t.tip_window = 1'000'000;
+  t.price_crossing = crossing;
   return t;
 }
 
