--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -80,6 +80,7 @@
   micros resend_span = 0;  // in any such span a node may make free_resends further postings ...
   double free_resends = 0, extra_share = 0;  // ... and this share of the txns that it took in it; 0: no such rule
   double price_crossing = 0;
+  double rank_crossing = 0;  // by so much, in parts of F(b), a server abroad ranks lower
   bool operator==(const Terms&) const = default;
 };
 
--- a/src/ambit/choices.cpp
+++ b/src/ambit/choices.cpp
@@ -41,7 +41,7 @@
   t.cold_from = 0.2;
   t.tip_multiple = 2;
   t.tip_window = 1'000'000;
-  t.price_crossing = crossing;
+  t.price_crossing = t.rank_crossing = crossing;
   return t;
 }
 
