Cold servers are paced by their gate alone; callers count them for what they bear

Cause: after power was lost everywhere all servers are cold and each caller's pace is forgotten, so that the module's credit for cold servers stood below one call for seconds (cold_allows(): best pace 0) and 82 of 84 requests were held out and refused.

Change: the mesh states no cold time to the module; the gate, which knows all senders, keeps the rate; a cold server's size is what it bears at once.

--- a/src/ambit/choices.cpp
+++ b/src/ambit/choices.cpp
@@ -7,6 +7,8 @@
 namespace {
 constexpr double slots_of_size_one = 2;  // the module takes a server of size one to work on so many at once
 constexpr int most_postings = 8;         // tries that were held back count there, and not in a route's tries
+constexpr double usual_part = 3;         // of an aim one call takes, where nothing tells
+constexpr double least_cold = 0.05;      // of a server's size
 // What a crossing between zones costs, as a part of what a call earns: the pages price it by bytes, dear on one site and
 // cheap on another, and tell processes nothing of it.
 constexpr double crossing = 0.1;
@@ -24,7 +26,7 @@
   return it == c.rows.end() ? -1 : it->second;
 }
 
-Terms Choices::terms_of(const Choice& c, const creed::Service* service) const {
+Terms Choices::terms_of(const Choice& c) const {
   Terms t;
   t.schemes = c.schemes;
   t.zone = settings_.zone;
@@ -37,10 +39,6 @@
   t.most_postings = most_postings;
   t.advice_heeded = true;
   t.longest_advice = 1'000'000;
-  t.cold_for = service ? service->warmup : 0;
-  t.cold_from = 0.2;
-  t.tip_multiple = 2;
-  t.tip_window = 1'000'000;
   t.price_crossing = t.rank_crossing = crossing;
   return t;
 }
@@ -64,8 +62,7 @@
         }
       }
   for (auto& [name, c] : choices_) {
-    const auto service = plan.services.find(name);
-    Terms t = terms_of(c, service == plan.services.end() ? nullptr : &service->second);
+    Terms t = terms_of(c);
     if (!c.desk) {
       c.desk = std::make_unique<node::Desk>(io_, clock_, counters_, std::move(t), seed_ ^ hashed(name));
       asio::co_spawn(io_, c.desk->tick(), asio::detached);
@@ -89,9 +86,14 @@
     line.zone = r.zone;
     line.size = std::max(1, r.slots) / slots_of_size_one;
     const auto service = plan.services.find(r.service);
-    const micros left = micros(r.cold_ms) * 1000 - (now - entry.heard);
-    if (left > 0 && service != plan.services.end() && service->second.warmup > 0)
-      line.started = clock_.now() - std::max<micros>(0, service->second.warmup - left);
+    // While cold it counts for what it bears; how many it gets a second its own gate sees to, which knows all senders.
+    const auto choice = choices_.find(r.service);
+    if (micros(r.cold_ms) * 1000 > now - entry.heard && service != plan.services.end() && choice != choices_.end()) {
+      micros aim = 0;
+      for (const scheme_row& row : choice->second.schemes) aim = std::max(aim, row.sla);
+      const double bears = service->second.warmup_per_s * double(aim) / usual_part / 1e6;  // at once
+      line.size *= std::clamp(bears / std::max(1, r.slots), least_cold, 1.0);
+    }
     lines[r.service].push_back(std::move(line));
   }
   nodes_ = std::max<std::size_t>(1, nodes);
--- a/src/ambit/choices.h
+++ b/src/ambit/choices.h
@@ -41,7 +41,7 @@
   std::size_t nodes() const { return nodes_; }
 
  private:
-  Terms terms_of(const Choice& c, const creed::Service* service) const;
+  Terms terms_of(const Choice& c) const;
   asio::io_context& io_;
   const node::Clock& clock_;
   node::Counters& counters_;
