--- a/src/chronicle/chronicle.h
+++ b/src/chronicle/chronicle.h
@@ -25,7 +25,6 @@
   server_up = 200,      // the server beside this node began a life
   server_draining = 201,
   server_gone = 202,    // said so, ended, or was not heard
-  server_cold = 203,
   items_taken = 300,    // items of the configuration were news
   change_refused = 301, // an operator's call was turned down, with its faults
   change_taken = 302,   // acknowledged
--- a/src/rumour/wire.h
+++ b/src/rumour/wire.h
@@ -6,6 +6,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
+#include <cstring>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -17,6 +18,40 @@
 
 namespace robinpin::rumour {
 
+// Reads a datagram in place. Unlike cereal's own it believes no length beyond the bytes that are there.
+class Reading : public cereal::InputArchive<Reading, cereal::AllowEmptyClassElision> {
+ public:
+  explicit Reading(std::string_view bytes) : cereal::InputArchive<Reading, cereal::AllowEmptyClassElision>(this), left_(bytes) {}
+  void take(void* to, std::size_t size) {
+    if (size > left_.size()) throw cereal::Exception("cut short");
+    std::memcpy(to, left_.data(), size);
+    left_.remove_prefix(size);
+  }
+  void check(std::uint64_t length) const {
+    if (length > left_.size()) throw cereal::Exception("longer than what is there");
+  }
+
+ private:
+  std::string_view left_;
+};
+template <typename T, cereal::traits::EnableIf<std::is_arithmetic_v<T>> = cereal::traits::sfinae>
+void CEREAL_LOAD_FUNCTION_NAME(Reading& r, T& x) {
+  r.take(std::addressof(x), sizeof x);
+}
+template <typename T>
+void CEREAL_LOAD_FUNCTION_NAME(Reading& r, cereal::BinaryData<T>& x) {
+  r.take(x.data, std::size_t(x.size));
+}
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Reading& r, cereal::NameValuePair<T>& x) {
+  r(x.value);
+}
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Reading& r, cereal::SizeTag<T>& x) {
+  r(x.size);
+  r.check(x.size);
+}
+
 enum class kind : std::uint8_t { news = 1, digest, fetch, fetched, store, stored };
 
 struct News {  // passed on to a few others
@@ -106,8 +141,7 @@
 std::optional<T> read(std::string_view datagram) {
   if (datagram.size() < 2 || datagram.size() > longest_datagram) return std::nullopt;
   try {
-    std::istringstream in{std::string(datagram.substr(1))};
-    cereal::BinaryInputArchive archive(in);
+    Reading archive(datagram.substr(1));
     T said;
     archive(said);
     return said;
@@ -131,3 +165,5 @@
 }
 
 }  // namespace robinpin::rumour
+
+CEREAL_REGISTER_ARCHIVE(robinpin::rumour::Reading)
--- a/src/span/memory.h
+++ b/src/span/memory.h
@@ -18,7 +18,7 @@
   std::set<std::pair<Machine, Machine>> cut;  // from, to
   std::uint64_t sent = 0, bytes = 0;
 
-  void send(std::int64_t now, Machine from, Machine to, std::string_view datagram) {
+  void send(Machine from, Machine to, std::string_view datagram) {
     ++sent, bytes += datagram.size();
     const int copies = 1 + (part() < doubled ? 1 : 0);
     for (int i = 0; i < copies; ++i)
@@ -54,7 +54,7 @@
   Memory(Net& net, Machine self) : net_(net), self_(self) {}
   ~Memory() override { net_.heard.erase(self_); }
   void send(Machine to, std::string_view datagram) override {
-    if (datagram.size() <= rumour::longest_datagram) net_.send(net_.now, self_, to, datagram);
+    if (datagram.size() <= rumour::longest_datagram) net_.send(self_, to, datagram);
   }
   void listen(Heard heard) override { net_.heard[self_] = std::move(heard); }
 
--- /dev/null
+++ b/tests/mesh/creed_test.cpp
@@ -0,0 +1,157 @@
+#include <rapidcheck.h>
+
+#include "../../src/creed/adjust.h"
+#include "../../src/creed/plan.h"
+#include "../../src/ground/ground.h"
+#include "help.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace robinpin;
+using namespace robinpin::mesh_test;
+
+namespace {
+creed::Creed stands(const std::string& call) {
+  creed::Creed c;
+  for (const auto& i : creed::read_change(call, c).items) c.take(i);
+  return c;
+}
+std::string edited(std::string text, const std::string& from, const std::string& to) {
+  const auto at = text.find(from);
+  CHECK_TEXT(at != std::string::npos, "the text to be spoilt is not in the call");
+  return text.replace(at, from.size(), to);
+}
+bool faulty(const std::string& call, const std::string& word) {
+  const creed::Change c = creed::read_change(call, stands(first_call("00000007")));
+  bool named = false;
+  for (const auto& f : c.faults) named = named || (f.reason.find(word) != std::string::npos);
+  return named && c.items.empty();
+}
+}  // namespace
+
+TEST_GROUP(Creed){};
+
+TEST(Creed, an_older_or_equal_version_arrives_again_and_changes_nothing) {
+  creed::Creed c;
+  CHECK(c.take({"c/a", 7, false, "x"}));
+  CHECK_FALSE(c.take({"c/a", 6, false, "y"}));
+  CHECK_FALSE(c.take({"c/a", 7, false, "x"}));
+  CHECK(c.take({"c/a", 9, true, ""}));
+  CHECK_FALSE(c.take({"c/a", 8, false, "z"}));
+  CHECK_FALSE(c.stands("c/a"));
+}
+
+TEST(Creed, two_wordings_of_one_version_settle_alike_in_any_order) {
+  const creed::Item a{"c/a", 7, false, "x"}, b{"c/a", 7, false, "y"}, gone{"c/a", 7, true, ""};
+  creed::Creed one, other;
+  for (const auto& i : {a, b, gone}) one.take(i);
+  for (const auto& i : {gone, b, a}) other.take(i);
+  CHECK(*one.find("c/a") == *other.find("c/a"));
+  CHECK(one.digest() == other.digest());
+}
+
+TEST(Creed, copies_that_differ_in_one_item_differ_in_its_part_alone) {
+  creed::Creed one = stands(first_call("00000007", 200)), other = stands(first_call("00000007", 200));
+  CHECK(one.digest() == other.digest());
+  other.take({"c/r5", 9, true, ""});
+  for (std::size_t p = 0; p < creed::parts; ++p) CHECK_EQUAL(p != creed::part_of("c/r5"), one.digest()[p] == other.digest()[p]);
+}
+
+TEST(Creed, every_kind_of_invalid_call_is_refused_whole_with_its_reason) {
+  const std::string good = first_call("00000008");
+  CHECK(creed::read_change(good, creed::Creed()).faults.empty());
+  CHECK(faulty(good.substr(0, good.size() - 9), "no JSON object"));
+  CHECK(faulty(edited(good, "a.example", ""), "authority"));
+  CHECK(faulty(edited(good, "idempotent", "sometimes"), "mode"));
+  CHECK(faulty(edited(good, "4000ms", "600001ms"), "deadline"));
+  CHECK(faulty(edited(good, "\"gain\":90},{\"target\":\"two\",\"gain\":10", "\"gain\":0},{\"target\":\"two\",\"gain\":0"), "sum to 0"));
+  CHECK(faulty(edited(good, "\"target\":\"two\",\"gain\":10", "\"target\":\"three\",\"gain\":10"), "nobody knows"));
+  CHECK(faulty(edited(good, "\"00000008\",null", "\"8\",null"), "revision"));
+  CHECK(faulty("[]", "no JSON object"));
+  CHECK(faulty(std::string(100'000, '['), "no JSON object"));
+}
+
+TEST(Creed, all_faults_of_a_call_are_told_at_once_with_their_places) {
+  std::string call = edited(first_call("00000008"), "a.example", "");
+  call = edited(call, "\"/p1/\",\"idempotent\"", "\"/p1/\",\"odd\"");
+  const auto c = creed::read_change(call, creed::Creed());
+  CHECK_EQUAL(2, c.faults.size());
+  STRCMP_EQUAL("/apply/channels/records/0", c.faults[0].pointer.c_str());
+  STRCMP_EQUAL("/apply/channels/records/1", c.faults[1].pointer.c_str());
+}
+
+TEST(Creed, a_service_that_was_dropped_is_known_no_longer) {
+  creed::Creed c = stands(first_call("00000007"));
+  CHECK(creed::read_change(one_route("00000008", "two"), c).faults.empty());
+  c.take({"t/two", 9, true, ""});
+  CHECK_FALSE(creed::read_change(one_route("00000008", "two"), c).faults.empty());
+}
+
+TEST(Creed, ten_thousand_items_and_a_name_twice_in_one_call_are_taken) {
+  const creed::Creed many = stands(first_call("00000007", 10'000));
+  CHECK_EQUAL(10'003, many.items().size());
+  creed::Creed c = stands(first_call("00000007"));
+  const std::string twice = edited(first_call("00000008"), "\"r1\"", "\"r0\"");
+  for (const auto& i : creed::read_change(twice, c).items) c.take(i);
+  CHECK_EQUAL(8, c.find("c/r0")->version);
+}
+
+TEST(Creed, what_is_read_back_is_what_was_sent_with_fields_that_nobody_knows) {
+  const std::string call = edited(first_call("00000007"), "\"tries\",\"revision\",\"target\"", "\"tries\",\"revision\",\"colour\"");
+  const std::string sent = edited(call, "\"00000007\",null", "\"00000007\",\"blue\"");
+  const creed::Creed first = stands(sent);
+  const std::string out = creed::written_out(first);
+  const creed::Creed again = stands("{\"apply\":" + out + "}");
+  CHECK(first.items() == again.items());
+  CHECK(out.find("\"blue\"") != std::string::npos);
+  CHECK(out.find("21.0") != std::string::npos);
+}
+
+TEST(Creed, the_longest_prefix_of_the_host_wins_and_none_is_none) {
+  creed::Creed c = stands(first_call("00000007"));
+  c.take({"c/deep", 7, false, R"({"label":"deep","authority":"A.example","path_prefix":"/p0/deep/","mode":"inflow","deadline":"1s","target":"one"})"});
+  const auto plan = creed::plan_of(c);
+  STRCMP_EQUAL("deep", plan->find("a.EXAMPLE:80", "/p0/deep/x?y=/p1/")->label.c_str());
+  STRCMP_EQUAL("r0", plan->find("a.example", "/p0/deeper")->label.c_str());
+  CHECK(plan->find("a.example", "/p0") == nullptr);
+  CHECK(plan->find("b.example", "/p0/") == nullptr);
+  CHECK(plan->find("a.example", "") == nullptr);
+}
+
+TEST(Creed, any_bytes_are_read_without_harm_and_never_give_items_with_faults) {
+  const creed::Creed known = stands(first_call("00000007"));
+  const std::string good = first_call("00000009");
+  CHECK(rc::check([&](const std::string& bytes, unsigned at, unsigned char with) {
+    std::string spoilt = good;
+    spoilt[at % spoilt.size()] = char(with);
+    for (const std::string& text : {bytes, spoilt, spoilt.substr(0, at % spoilt.size())}) {
+      const auto c = creed::read_change(text, known);
+      RC_ASSERT(c.faults.empty() || c.items.empty());
+      for (const auto& i : c.items) RC_ASSERT(i.dropped || !i.text.empty());
+    }
+  }));
+}
+
+TEST_GROUP(Ground){};
+
+TEST(Ground, settings_that_lack_or_contradict_something_name_every_pointer_and_reason) {
+  const std::string why = trouble_of<ground::Settings>([] {
+    return ground::read(R"({"ip":"10.1.0.41","zone":"z","ports":{"inbound":"10.1.0.41:8624","outbound":"10.1.0.41","readiness":"10.1.0.41:8625","control":"10.1.0.41:8620"},
+      "inner_ports":[0,1],"seed_nodes":[],"first_start":"yes","application":"10.1.0.41:8628","envelope":{"drain":"2500","retry_ratio":-1}})", false);
+  });
+  for (const char* fault : {"/ports/outbound: '10.1.0.41' is no address:port", "/inner_ports: no list", "/seed_nodes: names nobody", "/first_start: neither true nor false",
+                            "/target: is missing", "/envelope/drain: no time", "/envelope/retry_ratio: no number"})
+    CHECK_TEXT(why.find(fault) != std::string::npos, fault);
+  CHECK(trouble_of<ground::Settings>([] { return ground::read("{", false); }).find("no JSON") != std::string::npos);
+}
+
+TEST(Ground, a_field_that_nobody_knows_is_passed_over) {
+  const std::string text = R"({"ip":"10.1.0.46","zone":"z","ports":{"control":"10.1.0.46:8620"},"inner_ports":[7600,7615],"seed_nodes":["10.1.0.46:8620"],
+    "first_start":true,"data_dir":"/data/x","moon":{"phase":1},"envelope":{"grace_period":"2.5s","tide":"3s"}})";
+  STRCMP_EQUAL("", trouble_of<ground::Settings>([&]() -> trove::result<ground::Settings> {
+                 BOOST_LEAF_AUTO(s, ground::read(text, true));
+                 CHECK_EQUAL(2'500'000, s.grace);
+                 CHECK_EQUAL(7600, s.inner_port);
+                 return s;
+               }).c_str());
+}
--- /dev/null
+++ b/tests/mesh/fleet.h
@@ -0,0 +1,164 @@
+// Whole fleets of the mesh's state logic in memory, under one seed, told the time: rumours and core over the in-memory
+// span and trove, machines that are killed, lose their disks, are cut off and come back.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "../../src/locus/keep.h"
+#include "../../src/span/memory.h"
+#include "help.h"
+
+namespace robinpin::mesh_test {
+
+using rumour::Machine;
+
+class Fleet {
+ public:
+  struct Node {
+    bool core = false;
+    std::string zone;
+    std::uint64_t life = 0;
+    // One life's:
+    std::unique_ptr<span::Memory> span;
+    std::unique_ptr<creed::Creed> creed;
+    std::unique_ptr<rumour::Rumour> rumour;
+    std::unique_ptr<trove::Memory> trove;
+    std::unique_ptr<locus::Keep> keep;
+    rumour::Record record;
+    // Beyond it:
+    std::shared_ptr<trove::Memory::Disk> disk = std::make_shared<trove::Memory::Disk>();
+    std::map<std::string, std::uint64_t> seen;  // of this life: versions never go back
+    bool up() const { return span != nullptr; }
+  };
+
+  Fleet(int ambits, int cores, std::uint32_t seed) : net(seed), chance(seed ^ 77) {
+    for (int i = 0; i < cores; ++i) add(core(i), true, i);
+    for (int i = 0; i < ambits; ++i) add(ambit(i), false, i);
+    for (auto& [m, n] : nodes) start(m, true);
+  }
+  static Machine core(int i) { return 100 + Machine(i); }
+  static Machine ambit(int i) { return 1000 + Machine(i); }
+
+  void start(Machine m, bool first = false) {
+    Node& n = nodes.at(m);
+    n.creed = std::make_unique<creed::Creed>();
+    std::vector<Machine> seeds;
+    for (const auto& [c, x] : nodes)
+      if (x.core && seeds.size() < 3) seeds.push_back(c);
+    n.rumour = std::make_unique<rumour::Rumour>(rumour::Self{m, n.zone, n.core}, ++n.life, seeds, *n.creed, chance());
+    n.span = std::make_unique<span::Memory>(net, m);
+    n.span->listen([this, m](Machine from, std::string_view bytes) { heard(m, from, bytes); });
+    n.seen.clear();
+    if (n.core) {
+      n.trove = std::make_unique<trove::Memory>(n.disk);
+      n.keep = std::make_unique<locus::Keep>(m, *n.creed, *n.rumour, *n.trove, (std::uint64_t(chance()) << 32) | chance());
+      std::vector<Machine> founders;
+      for (const auto& [c, x] : nodes)
+        if (x.core) founders.push_back(c);
+      const std::string why = trouble_of<void>([&] { return n.keep->begin(first, founders); });
+      if (!why.empty()) faults.push_back(why);
+    }
+    rumour::Outbox out;
+    n.rumour->state(net.now, n.record, out);
+    send(m, out);
+  }
+  void kill(Machine m) {
+    Node& n = nodes.at(m);
+    n.keep.reset(), n.trove.reset(), n.rumour.reset(), n.creed.reset(), n.span.reset();
+  }
+  void wipe(Machine m) { nodes.at(m).disk = std::make_shared<trove::Memory::Disk>(); }
+  void cut(Machine a, Machine b) { net.cut.insert({a, b}), net.cut.insert({b, a}); }
+  void cut_off(Machine m) {
+    for (const auto& [o, n] : nodes)
+      if (o != m) cut(m, o);
+  }
+  void join() { net.cut.clear(); }
+
+  void run(std::int64_t span) {
+    for (const std::int64_t until = net.now + span; net.now < until;) {
+      net.run(std::min(until, net.now + 50'000));
+      for (auto& [m, n] : nodes) {
+        if (!n.up()) continue;
+        rumour::Outbox out;
+        n.rumour->tick(net.now, out);
+        if (n.keep) n.keep->tick(net.now, out);
+        send(m, out);
+        look(n);
+      }
+    }
+  }
+
+  // An operator's call to a core; what came of it stands in `outcome` once it is settled.
+  std::shared_ptr<std::optional<locus::Outcome>> order(Machine m, locus::Order::what what, const std::string& text = {}) {
+    auto outcome = std::make_shared<std::optional<locus::Outcome>>();
+    Node& n = nodes.at(m);
+    if (!n.up()) return outcome;
+    rumour::Outbox out;
+    n.keep->order(net.now, {what, text}, [outcome](locus::Outcome o) { *outcome = std::move(o); }, out);
+    send(m, out);
+    return outcome;
+  }
+  // The same, until it is settled; 0 for an answer that never came.
+  int settled(Machine m, locus::Order::what what, const std::string& text = {}, std::string* body = nullptr) {
+    const auto o = order(m, what, text);
+    for (int i = 0; i < 40 && !*o; ++i) run(50'000);
+    if (body && *o) *body = (*o)->body;
+    return *o ? (*o)->status : 0;
+  }
+  std::size_t with(const std::string& name, std::uint64_t version) const {
+    std::size_t count = 0;
+    for (const auto& [m, n] : nodes)
+      if (n.up())
+        if (const creed::Item* i = n.creed->find(name); i && i->version >= version) ++count;
+    return count;
+  }
+  void state(Machine m, rumour::Record r) {
+    Node& n = nodes.at(m);
+    n.record = r;
+    rumour::Outbox out;
+    n.rumour->state(net.now, r, out);
+    send(m, out);
+  }
+
+  span::Net net;
+  std::map<Machine, Node> nodes;
+  std::mt19937 chance;
+  std::vector<std::string> faults;  // what may never be
+
+ private:
+  void add(Machine m, bool is_core, int i) {
+    Node& n = nodes[m];
+    n.core = is_core;
+    n.zone = std::string("zone-") + char('a' + i % 3);
+  }
+  void heard(Machine m, Machine from, std::string_view bytes) {
+    Node& n = nodes.at(m);
+    rumour::Outbox out;
+    const auto k = rumour::kind_of(bytes);
+    if (k == rumour::kind::news || k == rumour::kind::digest) {
+      n.rumour->heard(net.now, from, bytes, out);
+      if (n.keep) n.keep->keep(n.rumour->fresh());
+    } else if (n.keep) {
+      n.keep->heard(net.now, from, bytes, out);
+    }
+    send(m, out);
+    look(n);
+  }
+  void send(Machine m, const rumour::Outbox& out) {
+    for (const auto& d : out) nodes.at(m).span->send(d.to, d.bytes);
+  }
+  void look(Node& n) {
+    if (!n.rumour->caught_up() && !n.core) return;
+    for (const auto& [name, item] : n.creed->items()) {
+      auto& v = n.seen[name];
+      if (item.version < v) faults.push_back("a version went back: " + name);
+      v = item.version;
+    }
+  }
+};
+
+}  // namespace robinpin::mesh_test
--- /dev/null
+++ b/tests/mesh/fleet_test.cpp
@@ -0,0 +1,270 @@
+#include "fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace robinpin;
+using namespace robinpin::mesh_test;
+using What = locus::Order::what;
+
+namespace {
+constexpr std::int64_t second = 1'000'000;
+constexpr auto core = Fleet::core;
+constexpr auto ambit = Fleet::ambit;
+std::string reads(Fleet& f, Machine m) {
+  std::string body;
+  return f.settled(m, What::read, {}, &body) == 200 ? body : std::string();
+}
+bool says(Fleet& f, Machine m, const std::string& text) { return reads(f, m).find(text) != std::string::npos; }
+}  // namespace
+
+TEST_GROUP(Fleet){};
+
+TEST(Fleet, a_change_reaches_all_of_15_though_a_tenth_of_the_datagrams_is_lost_or_doubled) {
+  Fleet f(12, 3, 1);
+  f.net.loss = f.net.doubled = 0.1;
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+  f.run(2 * second);
+  CHECK_EQUAL(15, f.with("c/r0", 7));
+  CHECK_EQUAL(200, f.settled(core(1), What::adjust, one_route("00000009", "two")));
+  f.run(2 * second);
+  CHECK_EQUAL(15, f.with("c/r0", 9));
+  CHECK(f.faults.empty());
+}
+
+TEST(Fleet, what_was_acknowledged_is_read_back_after_the_core_that_said_so_has_lost_its_disk) {
+  for (int who = 0; who < 3; ++who) {
+    Fleet f(0, 3, 10 + std::uint32_t(who));  // no ambit hands anything over: the core alone keeps it
+    f.cut(core(0), core(1));                 // one link is down, so that just two hold it
+    CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+    for (int i = 0; i < 3; ++i) f.kill(core(i));  // power is off everywhere ...
+    f.wipe(core(who));                            // ... and one comes back with an empty disk
+    f.join();
+    for (int i = 0; i < 3; ++i) f.start(core(i));
+    f.run(2 * second);
+    for (int i = 0; i < 3; ++i) CHECK(says(f, core(i), "\"r2\""));
+  }
+}
+
+TEST(Fleet, an_empty_disk_is_no_copy_before_it_has_met_all_that_may_be_lost_with_it) {
+  Fleet f(0, 3, 4);
+  f.cut(core(0), core(2));
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+  f.kill(core(0)), f.kill(core(1));
+  f.wipe(core(0));
+  f.join();
+  f.start(core(0));  // with it the one that has nothing: two of three answer, and neither knows what core 1 holds
+  f.run(3 * second);
+  CHECK_FALSE(f.nodes.at(core(0)).keep->whole());
+  CHECK_EQUAL(503, f.settled(core(2), What::read));
+  CHECK_EQUAL(503, f.settled(core(0), What::adjust, first_call("00000008")));
+  f.start(core(1));
+  f.run(3 * second);
+  CHECK(f.nodes.at(core(0)).keep->whole());
+  CHECK(says(f, core(2), "\"r2\""));
+}
+
+TEST(Fleet, a_core_alone_acknowledges_nothing_and_says_so_before_its_caller_goes) {
+  Fleet f(3, 3, 5);
+  f.cut_off(core(0));
+  const auto o = f.order(core(0), What::adjust, first_call("00000007"));
+  f.run(950'000);
+  CHECK(o->has_value());
+  CHECK_EQUAL(503, (*o)->status);
+  CHECK_EQUAL(0, f.with("c/r0", 7));
+  CHECK_EQUAL(200, f.settled(core(1), What::adjust, first_call("00000007")));
+  f.join();
+  f.run(2 * second);
+  CHECK_EQUAL(6, f.with("c/r0", 7));
+}
+
+TEST(Fleet, a_core_that_was_cut_off_judges_a_call_by_what_the_others_hold) {
+  Fleet f(0, 3, 6);
+  f.run(second);
+  f.cut_off(core(2));
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+  f.join();
+  // Heard of nothing yet: a service known to the others is no reason to refuse, one dropped there is.
+  const auto valid = f.order(core(2), What::adjust, one_route("00000008", "two"));
+  f.run(second);
+  CHECK_EQUAL(200, (*valid)->status);
+  CHECK_EQUAL(400, f.settled(core(2), What::adjust, one_route("00000009", "three")));
+  CHECK_EQUAL(0, f.with("c/r0", 9));
+}
+
+TEST(Fleet, two_operators_at_two_cores_with_one_version_end_with_one_wording_everywhere) {
+  for (std::uint32_t seed = 20; seed < 30; ++seed) {
+    Fleet f(4, 3, seed);
+    CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+    const auto a = f.order(core(0), What::adjust, one_route("0000000a", "one")), b = f.order(core(1), What::adjust, one_route("0000000a", "two"));
+    f.run(3 * second);
+    CHECK_EQUAL(200, (*a)->status);
+    CHECK_EQUAL(200, (*b)->status);
+    const creed::Item settled = *f.nodes.at(core(0)).creed->find("c/r0");
+    for (const auto& [m, n] : f.nodes) CHECK(*n.creed->find("c/r0") == settled);
+    CHECK(reads(f, core(2)) == reads(f, core(0)));
+  }
+}
+
+TEST(Fleet, an_evacuation_taken_back_stays_so_though_a_core_slept_through_both) {
+  Fleet f(3, 3, 7);
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+  f.cut_off(core(2));
+  CHECK_EQUAL(200, f.settled(core(0), What::begin, "zone-a"));
+  CHECK_EQUAL(200, f.settled(core(1), What::finish, "zone-a"));
+  f.join();
+  CHECK_EQUAL(200, f.settled(core(2), What::begin, "zone-a"));  // above all that a majority knows
+  f.run(2 * second);
+  for (const auto& [m, n] : f.nodes) CHECK(n.creed->stands("e/zone-a"));
+  CHECK_EQUAL(200, f.settled(core(2), What::begin, "zone-a"));  // asked again: nothing new
+  CHECK_EQUAL(200, f.settled(core(0), What::finish, "zone-a"));
+  f.run(2 * second);
+  for (const auto& [m, n] : f.nodes) CHECK_FALSE(n.creed->stands("e/zone-a"));
+}
+
+TEST(Fleet, a_failed_sync_is_final_and_nothing_is_acknowledged_after_it) {
+  Fleet f(0, 3, 8);
+  f.run(second);
+  f.nodes.at(core(0)).trove->fails = true;
+  CHECK_EQUAL(503, f.settled(core(0), What::adjust, first_call("00000007")));
+  f.nodes.at(core(0)).trove->fails = false;
+  CHECK_EQUAL(503, f.settled(core(0), What::adjust, first_call("00000007")));
+  CHECK_EQUAL(200, f.settled(core(1), What::adjust, first_call("00000007")));  // the other two are a majority
+  f.nodes.at(core(2)).trove->fails = true;
+  CHECK_EQUAL(503, f.settled(core(1), What::adjust, first_call("00000009")));
+}
+
+TEST(Fleet, a_member_that_is_silent_lapses_and_one_word_of_its_own_takes_that_back) {
+  Fleet f(6, 3, 9);
+  rumour::Record r;
+  r.server = "i-1", r.service = "one";
+  f.state(ambit(0), r);
+  f.run(8 * second);
+  CHECK_FALSE(f.nodes.at(ambit(5)).rumour->roll().find(ambit(0))->lapsed);
+  f.cut_off(ambit(0));
+  f.run(9 * second);
+  CHECK(f.nodes.at(ambit(5)).rumour->roll().find(ambit(0))->lapsed);
+  f.join();
+  f.run(3 * second);
+  CHECK_FALSE(f.nodes.at(ambit(5)).rumour->roll().find(ambit(0))->lapsed);
+  STRCMP_EQUAL("i-1", f.nodes.at(ambit(5)).rumour->roll().find(ambit(0))->server.c_str());
+}
+
+TEST(Fleet, a_core_that_is_cut_off_or_has_just_come_back_empties_nobodys_list) {
+  Fleet f(6, 3, 11);
+  f.run(3 * second);
+  f.cut_off(core(0));
+  f.run(20 * second);
+  f.join();
+  f.run(second);
+  for (int i = 1; i < 3; ++i) f.kill(core(i));
+  f.run(20 * second);
+  for (int i = 1; i < 3; ++i) f.start(core(i));
+  f.run(4 * second);
+  for (const auto& [m, e] : f.nodes.at(ambit(3)).rumour->roll().entries()) CHECK_FALSE(e.record.lapsed);
+}
+
+TEST(Fleet, a_life_with_a_clock_set_back_is_believed_after_the_life_before_it) {
+  Fleet f(4, 3, 12);
+  f.nodes.at(ambit(0)).life = 1000;
+  f.kill(ambit(0));
+  rumour::Record r;
+  r.server = "i-1";
+  f.nodes.at(ambit(0)).record = r;
+  f.start(ambit(0));
+  f.run(2 * second);
+  f.nodes.at(ambit(0)).life = 5;
+  f.kill(ambit(0));
+  r.server = "i-2";
+  f.nodes.at(ambit(0)).record = r;
+  f.start(ambit(0));
+  f.run(3 * second);
+  STRCMP_EQUAL("i-2", f.nodes.at(ambit(3)).rumour->roll().find(ambit(0))->server.c_str());
+}
+
+TEST(Fleet, a_node_that_begins_waits_until_it_has_what_a_majority_of_the_core_holds) {
+  Fleet f(4, 3, 13);
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+  f.run(second);
+  f.cut_off(core(2));
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, one_route("00000009", "two")));
+  f.kill(ambit(0));
+  f.join();
+  f.start(ambit(0));
+  for (const auto& [m, n] : f.nodes)
+    if (m != core(2)) f.cut(ambit(0), m);  // only the stale one is heard
+  f.run(second);
+  CHECK_FALSE(f.nodes.at(ambit(0)).rumour->caught_up());
+  f.join();
+  f.run(second);
+  CHECK(f.nodes.at(ambit(0)).rumour->caught_up());
+  CHECK_EQUAL(9, f.nodes.at(ambit(0)).creed->find("c/r0")->version);
+}
+
+TEST(Fleet, idle_members_cost_bounded_bytes_that_do_not_grow_with_the_fleet) {
+  double cost[2];
+  for (int i = 0; i < 2; ++i) {
+    const int ambits = i == 0 ? 12 : 86;
+    Fleet f(ambits, 3, 14);
+    CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+    f.run(5 * second);
+    const auto before = f.net.bytes;
+    f.run(10 * second);
+    cost[i] = double(f.net.bytes - before) / 10 / (ambits + 3);
+  }
+  CHECK(cost[0] < 2500);  // bytes a second sent by each, both ways of a digest
+  CHECK(cost[1] < 1.2 * cost[0]);
+}
+
+// Kills, wiped disks, cuts, losses, two operators: whatever is drawn within the tolerance (one counted machine at a time),
+// what was acknowledged is read back as it was sent or newer, and no node of any life goes back.
+TEST(Fleet, nothing_acknowledged_is_lost_and_no_version_goes_back_under_drawn_faults) {
+  const auto play = [](int ambits, int cores, std::uint32_t seed, int rounds) {
+    Fleet f(ambits, cores, seed);
+    std::mt19937 chance(seed * 7 + 1);
+    f.net.loss = 0.05, f.net.doubled = 0.02;
+    CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000001", 6)));
+    std::map<std::string, std::uint64_t> acknowledged;
+    std::uint64_t version = 1;
+    int taken = 0;
+    for (int round = 0; round < rounds; ++round) {
+      const Machine hurt = core(int(chance() % std::uint32_t(cores)));
+      const auto how = chance() % 4;
+      std::vector<std::pair<std::string, std::shared_ptr<std::optional<locus::Outcome>>>> calls;
+      for (int i = 0; i < 2; ++i) {
+        const std::string label = "r" + std::to_string(chance() % 6);
+        version += 1 + chance() % 3;
+        calls.emplace_back("c/" + label + "@" + std::to_string(version),
+                           f.order(core(int(chance() % std::uint32_t(cores))), What::adjust, one_route(creed::version_text(version), chance() % 2 ? "one" : "two", label)));
+      }
+      f.run(std::int64_t(chance() % 9'000));  // struck in the midst of it
+      if (how == 0) f.kill(hurt);
+      if (how == 1) f.kill(hurt), f.wipe(hurt);
+      if (how == 2) f.cut_off(hurt);
+      if (how == 3) f.kill(ambit(int(chance() % std::uint32_t(ambits))));
+      f.run(1'500'000);
+      for (const auto& [what, o] : calls)
+        if (*o && (*o)->status == 200) {
+          auto& v = acknowledged[what.substr(0, what.find('@'))];
+          v = std::max<std::uint64_t>(v, std::stoull(what.substr(what.find('@') + 1)));
+          ++taken;
+        }
+      f.join();
+      for (auto& [m, n] : f.nodes)
+        if (!n.up()) f.start(m);
+      f.run(4 * second);
+    }
+    for (int i = 0; i < cores; ++i) f.kill(core(i));
+    f.wipe(core(int(chance() % std::uint32_t(cores))));
+    for (int i = 0; i < ambits; ++i) f.kill(ambit(i));
+    for (auto& [m, n] : f.nodes) f.start(m);
+    f.run(4 * second);
+    for (int i = 0; i < cores; ++i) {
+      CHECK_EQUAL(200, f.settled(core(i), What::read));
+      for (const auto& [name, v] : acknowledged) CHECK(f.nodes.at(core(i)).creed->find(name)->version >= v);
+    }
+    CHECK(taken > rounds / 2);
+    CHECK(f.faults.empty());
+  };
+  for (std::uint32_t seed = 100; seed < 130; ++seed) play(12, 3, seed, 12);
+  for (std::uint32_t seed = 200; seed < 202; ++seed) play(86, 4, seed, 6);
+}
--- /dev/null
+++ b/tests/mesh/gate_test.cpp
@@ -0,0 +1,117 @@
+#include <random>
+
+#include "../../src/ambit/account.h"
+#include "../../src/gate/gate.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace robinpin;
+using gate::Gate;
+using gate::held;
+
+namespace {
+constexpr std::int64_t ms = 1000, second = 1'000'000;
+gate::Server server(const std::string& id, std::uint64_t sequence, bool draining = false) {
+  gate::Server s;
+  s.id = id, s.service = "one", s.slots = 4, s.sequence = sequence, s.draining = draining;
+  return s;
+}
+Gate::Asked asked(std::int64_t deadline, std::int64_t to_aim) { return {deadline, to_aim, deadline}; }
+const Gate::Asked usual = asked(4 * second, 600 * ms);
+}  // namespace
+
+TEST_GROUP(Gate){};
+
+TEST(Gate, nothing_new_passes_to_one_that_drains_also_by_a_late_beat_that_calls_it_admitted) {
+  Gate g;
+  CHECK(held::no_server == g.verdict(0, "a", {}, usual));
+  CHECK(g.beat(0, server("a", 4), 0));
+  CHECK(held::none == g.verdict(1, "a", {}, usual));
+  CHECK(g.beat(2, server("a", 6, true), 0));
+  CHECK(held::draining == g.verdict(3, "a", {}, usual));
+  CHECK_FALSE(g.beat(4, server("a", 5), 0));
+  CHECK(g.beat(5, server("a", 7), 0));
+  CHECK(held::draining == g.verdict(6, "a", {}, usual));
+  g.departed("a");
+  CHECK(held::no_server == g.verdict(7, "a", {}, usual));
+  CHECK_FALSE(g.beat(8, server("a", 8), 0));  // gone for good: only another life comes back
+  CHECK(held::no_server == g.verdict(9, "a", {}, usual));
+  CHECK(g.beat(10, server("b", 1), 0));
+  CHECK(held::other_instance == g.verdict(11, "a", {}, usual));
+}
+
+TEST(Gate, of_an_emptied_zone_nothing_passes_and_the_server_is_doubted_when_it_is_taken_back) {
+  Gate g;
+  g.beat(0, server("a", 1), 0);
+  Gate::Bounds b;
+  b.emptied = true, b.warmup_per_s = 1;
+  CHECK(held::emptied == g.verdict(1, "a", b, usual));
+  b.emptied = false;
+  g.doubt_until(2 * second);
+  CHECK(held::none == g.verdict(2, "a", b, usual));
+  g.sent(2);
+  CHECK(held::cold == g.verdict(3, "a", b, usual));
+  g.cold_for(4, 0);
+  CHECK(held::none == g.verdict(5, "a", b, usual));
+}
+
+TEST(Gate, a_crowd_of_any_rhythm_never_brings_a_cold_server_more_in_a_second_than_it_bears) {
+  std::mt19937 chance(3);
+  Gate g;
+  g.beat(0, server("a", 1), 60 * second);
+  Gate::Bounds b;
+  b.warmup_per_s = 5.2, b.conn_limit = 1'000'000;
+  std::deque<std::int64_t> passed;
+  std::size_t most = 0, all = 0;
+  for (std::int64_t now = 0; now < 30 * second; now += std::int64_t(chance() % 40'000)) {
+    if (g.verdict(now, "a", b, usual) != held::none) continue;
+    g.sent(now), g.ended(0, 0);
+    passed.push_back(now), ++all;
+    while (passed.front() <= now - second) passed.pop_front();
+    most = std::max(most, passed.size());
+  }
+  CHECK_EQUAL(5, most);
+  CHECK(all > 100);
+}
+
+TEST(Gate, who_would_be_late_is_held_back_and_callers_that_have_worked_wait_longest) {
+  Gate g;
+  g.beat(0, server("a", 1), 0);
+  Gate::Bounds b;
+  b.shortest = 500 * ms;
+  for (int i = 0; i < 40; ++i) g.sent(i), g.ended(0, 100 * ms);
+  int usual_most = 0, tight_most = 0;
+  for (; g.verdict(50, "a", b, usual) == held::none; ++usual_most) g.sent(50);
+  tight_most = usual_most;
+  for (; g.verdict(50, "a", b, asked(500 * ms, 150 * ms)) == held::none; ++tight_most) g.sent(50);
+  CHECK_EQUAL(8, usual_most);   // half of 0.8 x 500 ms at 4 slots of 100 ms
+  CHECK_EQUAL(16, tight_most);  // all of it
+}
+
+TEST(Gate, a_free_slot_is_never_refused_however_slow_the_server_has_become) {
+  Gate g;
+  g.beat(0, server("a", 1), 0);
+  for (int i = 0; i < 40; ++i) g.sent(i), g.ended(0, 20 * second);
+  CHECK(held::none == g.verdict(50, "a", {}, usual));
+}
+
+TEST_GROUP(Account){};
+
+TEST(Account, further_tries_never_pass_this_nodes_part_in_any_window_however_they_are_asked_for) {
+  std::mt19937 chance(5);
+  ambit::Account a;
+  constexpr std::int64_t window = 10 * second;
+  constexpr double ratio = 0.2, slack = 60;
+  constexpr std::size_t nodes = 12;
+  a.bounds(window, ratio, slack, nodes);
+  std::deque<std::int64_t> taken, further;
+  int spent = 0;
+  for (std::int64_t now = 0; now < 90 * second; now += std::int64_t(chance() % 60'000)) {
+    if (now < 30 * second || now > 50 * second) a.taken(now, "one"), taken.push_back(now);
+    if (a.spend(now, "one")) further.push_back(now), ++spent;
+    while (!taken.empty() && taken.front() <= now - window) taken.pop_front();
+    while (!further.empty() && further.front() <= now - window) further.pop_front();
+    CHECK(double(further.size()) <= ratio / ambit::Account::weight * double(taken.size()) + slack / ambit::Account::weight / nodes + 1e-9);
+  }
+  CHECK(spent > 50);
+}
