--- a/src/ambit/carry.cpp
+++ b/src/ambit/carry.cpp
@@ -14,7 +14,7 @@
 
 using namespace std::chrono_literals;
 constexpr std::size_t pace = 64 * 1024;       // bytes a second that a body comes at, at the least
-constexpr std::chrono::seconds write_limit = 10s, probe_limit = 1s;
+constexpr std::chrono::seconds write_limit = 10s, body_limit = 10s, probe_limit = 1s;
 constexpr micros unready_back = 300'000;      // when to come back to a node that is not ready
 constexpr micros closing_margin = 8'000;      // by which a server's time is shorter than its caller's: its word still gets here
 constexpr auto closes_idle_after = 2500ms;    // after SIGTERM: callers have been told by then
@@ -24,6 +24,7 @@
   m.dial_limit = 250ms;
   m.idle_limit = 25s;
   m.user_timeout_ms = 800;
+  m.asks_first = 8 * 1024;
   return m;
 }
 
@@ -357,13 +358,46 @@
   co_return r;
 }
 
+namespace {
+
+gate::Gate::Asked asked_by(const codec::Message& m) {
+  const auto told = [&](std::string_view name) { return std::max<long long>(0, codec::whole_number(m.header(name))) * 1000; };
+  return {told(deadline_header), told(aim_header), told("X-Remaining-Ms")};
+}
+
+}  // namespace
+
+awaitable<codec::reading> Carry::read_inner(Connection& c, asio::error_code& error, gate::held& held) {
+  std::uint64_t counted = 0;
+  for (codec::reading got = codec::reading::unfinished;;) {
+    got = co_await c.more(error);
+    if (error || got != codec::reading::unfinished) co_return got;
+    if (c.in.wants_word()) {
+      held = hand_.verdict(std::string(c.in.header(instance_header)), asked_by(c.in));
+      if (held != gate::held::none) co_return codec::reading::unfinished;
+      std::size_t written = 0;
+      error = co_await c.write("HTTP/1.1 100 Continue\r\n\r\n", {}, written);
+      if (error) co_return codec::reading::unfinished;
+    }
+    if (c.in.came() - counted >= pace) counted = c.in.came(), c.limit(steady::now() + body_limit);
+  }
+}
+
 // Another node's request: what it wants is known by its headers, and how far it came goes back by ours.
 awaitable<void> Carry::serve_inner(std::shared_ptr<Connection> c) {
   for (;;) {
     c->limit(steady::now() + 60s);
     asio::error_code error;
-    const codec::reading got = c->in.whole() ? codec::reading::complete : co_await c->read(error, Connection::all, pace);
-    if (error || got != codec::reading::complete) co_return;
+    gate::held early = gate::held::none;
+    const codec::reading got = c->in.whole() ? codec::reading::complete : co_await read_inner(*c, error, early);
+    if (error) co_return;
+    if (early != gate::held::none) {
+      std::size_t written = 0;
+      co_await c->write(fmt::format("HTTP/1.1 503 Held\r\n{}: {}\r\nX-Attempt-Id: {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", held_header,
+                                    gate::names[std::size_t(early)], c->in.header("X-Attempt-Id")), {}, written);
+      co_return;
+    }
+    if (got != codec::reading::complete) co_return;
     c->no_limit();
     const codec::Message& m = c->in;
     auto parcel = std::make_shared<Parcel>();
@@ -373,13 +407,13 @@
     std::string instance(m.header(instance_header));
     const bool probes = !m.header("X-Mesh-Probe").empty();
     const micros left = std::max<long long>(0, codec::whole_number(m.header("X-Remaining-Ms"))) * 1000;
-    const gate::Gate::Asked asked{std::max<long long>(0, codec::whole_number(m.header(deadline_header))) * 1000, std::max<long long>(0, codec::whole_number(m.header(aim_header))) * 1000, left};
+    const gate::Gate::Asked asked = asked_by(m);
     const std::string_view listed = m.header("Connection");
     for (std::size_t i = 0; i < m.headers(); ++i) {
       const auto [name, value] = m.header(i);
       if (!of_connection(name, listed) && !of_mesh(name)) parcel->headers += fmt::format("{}: {}\r\n", name, codec::trim(value));
     }
-    if (m.has_body()) parcel->body = std::make_shared<const std::string>(m.body());
+    if (m.has_body()) parcel->body = std::make_shared<const std::string>(m.body()), inner_bytes_ += m.body().size();
     Answer a;
     bool gone = false;
     ++pending_;
--- a/src/ambit/carry.h
+++ b/src/ambit/carry.h
@@ -39,6 +39,7 @@
     std::uint64_t taken = 0, good = 0, failed = 0, refused = 0, further = 0, held = 0, own_4xx = 0, probes = 0;
   };
   const Counts& counts() const { return counts_; }
+  std::uint64_t inner_bytes() const { return inner_bytes_; }  // of bodies that other nodes sent
   // How tries of this node's callers ended, by what the server's node said, and its own answers by why.
   const std::map<std::string, std::uint64_t>& endings() const { return endings_; }
 
@@ -70,6 +71,8 @@
   awaitable<void> post(trip t, node::Order order);
   awaitable<Result> forward(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string server, gate::Gate::Asked asked,
                             steady::time_point until);
+  // Reads another node's request; before a long body the gate is asked, and what it holds back is not sent at all.
+  awaitable<codec::reading> read_inner(Connection& c, asio::error_code& error, gate::held& held);
   awaitable<void> probe(node::Desk* desk, std::string server);
   Answer own(int status, std::string_view fault, micros come_back = 0);
   static Answer passed_on(const Fate& f);
@@ -92,6 +95,7 @@
   rumour::Machine self_ = 0;
   bool ready_ = false, ending_ = false;
   std::size_t pending_ = 0;
+  std::uint64_t inner_bytes_ = 0;
   Counts counts_;
   std::map<std::string, std::uint64_t> endings_;  // a few dozen names at the most
 };
--- a/src/ambit/hand.cpp
+++ b/src/ambit/hand.cpp
@@ -48,7 +48,7 @@
 awaitable<Result> Hand::take(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string instance,
                              gate::Gate::Asked asked, steady::time_point until) {
   Result r;
-  const gate::held why = gate_.verdict(now(), instance, bounds(), asked);
+  const gate::held why = verdict(instance, asked);
   if (why != gate::held::none) {
     r.how = outcome::held;
     r.why = gate::names[std::size_t(why)];
--- a/src/ambit/hand.h
+++ b/src/ambit/hand.h
@@ -41,6 +41,8 @@
   // `instance`: the server that the caller means. Until `until` at the latest.
   awaitable<Result> take(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string instance, gate::Gate::Asked asked,
                          steady::time_point until);
+  // Whether the gate would let it pass now: asked before a long body is sent.
+  gate::held verdict(const std::string& instance, const gate::Gate::Asked& asked) { return gate_.verdict(now(), instance, bounds(), asked); }
   // Asks the server how it is, on the path of its service. Nothing where it can't be asked.
   awaitable<std::optional<Fate>> probe(std::string instance, steady::duration limit);
 
--- a/src/ambit/way.cpp
+++ b/src/ambit/way.cpp
@@ -85,13 +85,26 @@
   c.limit(until);
   const std::string_view body = parcel->body ? std::string_view(*parcel->body) : std::string_view();
   const bool sized = !body.empty() || parcel->method == "POST" || parcel->method == "PUT" || parcel->method == "PATCH";
-  const std::string head = sized ? fmt::format("{} {} HTTP/1.1\r\n{}Content-Length: {}\r\n\r\n", parcel->method, parcel->target, parcel->headers, body.size())
+  const bool asks = manners_.asks_first > 0 && body.size() >= manners_.asks_first;
+  const std::string head = sized ? fmt::format("{} {} HTTP/1.1\r\n{}{}Content-Length: {}\r\n\r\n", parcel->method, parcel->target, parcel->headers,
+                                               asks ? "Expect: 100-continue\r\n" : "", body.size())
                                  : fmt::format("{} {} HTTP/1.1\r\n{}\r\n", parcel->method, parcel->target, parcel->headers);
   std::size_t written = 0;
-  const auto broken = co_await c.write(head, body, written);
+  asio::error_code error = co_await c.write(head, asks ? std::string_view() : body, written);
+  bool wanted = !asks;
+  if (!error && asks) {
+    const codec::reading got = co_await c.read(error);
+    if (error || errand->off || got == codec::reading::unfinished) co_return told();  // not a byte of the body was sent
+    wanted = got == codec::reading::complete && c.in.status() == 100;
+    if (wanted) {
+      if (c.in.next() == codec::reading::malformed) co_return told();
+      std::size_t more = 0;
+      error = co_await c.write(body, {}, more);
+      written += more;
+    }
+  }
   if (written == head.size() + body.size()) f.how_far = came::written;
-  if (broken || errand->off) co_return told();
-  asio::error_code error;
+  if (error || errand->off) co_return told();
   for (int strangers = 0;;) {
     codec::reading got = c.in.whole() ? codec::reading::complete : co_await c.read(error);
     if (errand->off || got == codec::reading::unfinished) co_return told();
@@ -132,7 +145,7 @@
       const auto digits = told_keep.substr(at + 8, told_keep.find_first_of(", ;", at + 8) - (at + 8));
       if (const auto s = codec::whole_number(digits); s >= 0) keep = std::min<steady::duration>(keep, std::chrono::seconds(s) * 8 / 10);
     }
-  if (c.in.keep_alive() && !c.in.behind() && idle_.size() < manners_.most_idle) {
+  if (wanted && c.in.keep_alive() && !c.in.behind() && idle_.size() < manners_.most_idle) {
     c.in.next();
     c.no_limit();
     if (c.quiet()) {
--- a/src/ambit/way.h
+++ b/src/ambit/way.h
@@ -54,6 +54,7 @@
   steady::duration idle_limit = std::chrono::seconds(25);
   std::size_t most_idle = 64;
   int user_timeout_ms = 0;  // what the peer's machine does not acknowledge for so long ends the connection; 0: no limit
+  std::size_t asks_first = 0;  // before a body as long as that its peer is asked whether it wants it; 0: never
   bool strangers = false;   // answers of other requests may stand before ours: read past
 };
 
--- a/tests/mesh/carry_test.cpp
+++ b/tests/mesh/carry_test.cpp
@@ -146,7 +146,7 @@
       node.hand = std::make_unique<ambit::Hand>(io, sockets_, node.settings, node.application.local_endpoint());
       node.carry = std::make_unique<ambit::Carry>(io, clock_, sockets_, node.settings, *node.hand, 7);
       auto take = [this](tcp::acceptor& a, std::function<awaitable<void>(std::shared_ptr<node::Connection>)> f) {
-        asio::co_spawn(io, port::accept(a, sockets_, {}, std::move(f)), asio::detached);
+        asio::co_spawn(io, port::accept(a, sockets_, {16 * 1024, 1024 * 1024}, std::move(f)), asio::detached);
       };
       take(node.outbound, [&node](auto c) { return node.carry->serve(std::move(c)); });
       take(node.inbound, [&node](auto c) { return node.carry->serve_inner(std::move(c)); });
@@ -304,6 +304,17 @@
   CHECK_EQUAL(0, m.runs());
 }
 
+TEST(Carry, a_long_body_is_not_sent_to_a_node_that_holds_it_back) {
+  Mesh m(3);
+  m.only({1, 2});
+  m.hand(1).door().departed("i-1");
+  const std::string body(300'000, 'b');
+  for (int i = 0; i < 4; ++i) CHECK_EQUAL(200, m.post("/big/x", body).status);
+  CHECK_EQUAL(4, m.box(2).runs);
+  CHECK(m.carry(1).inner_bytes() == 0);
+  CHECK(m.carry(2).inner_bytes() == 4 * body.size());
+}
+
 TEST(Carry, an_address_that_another_service_has_now_runs_nothing) {
   Mesh m(2);
   m.only({1});
