The return of a whole fleet is spread: listings of records, digests ever rarer

Change: where records differ their versions are listed and only what the other lacks is sent; a node that begins asks each time later, and only cores that it does not agree with yet; what is equal is not answered; cold is said when it begins and ends. A gate's first second after a start is closed to a cold server.

Measured in memory: 86 + 3 back at once under 500 datagrams and 160 KB each in 2 s, all caught up; a core reads back at once. Tests for both.

--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -44,7 +44,12 @@
   bool beat(std::int64_t now, Server told, std::int64_t cold_left) {
     const bool same = told.id == server_.id;
     if (same && (told.sequence <= server_.sequence || gone_)) return !gone_ && told.sequence == server_.sequence;
-    if (!same) sent_.clear(), gone_ = false;
+    if (!same) {
+      // A process that begins does not know what the one before it sent in this second.
+      const bool first = server_.id.empty() && told.sequence > 1;
+      sent_.clear(), gone_ = false;
+      closed_until_ = first ? now + second + slack : 0;
+    }
     told.heard = now;
     told.cold_until = cold_left > 0 ? now + cold_left : 0;
     told.draining = told.draining || (same && server_.draining);  // no way back within a life
@@ -68,7 +73,7 @@
     if (!instance.empty() && instance != server_.id) return held::other_instance;
     if (server_.draining) return held::draining;
     if (b.emptied) return held::emptied;
-    if (cold(now) && b.warmup_per_s > 0 && int(recent(now)) >= cold_room(b)) return held::cold;
+    if (cold(now) && b.warmup_per_s > 0 && (now < closed_until_ || int(recent(now)) >= cold_room(b))) return held::cold;
     if (at_work_ >= b.conn_limit - 2) return held::crowded;  // a probe and one that is being closed
     if (at_work_ >= server_.slots && foreseen() > patience(b, asked)) return held::crowded;
     return held::none;
@@ -109,7 +114,7 @@
   }
   Server server_;
   bool gone_ = false;
-  std::int64_t doubted_until_ = 0;
+  std::int64_t doubted_until_ = 0, closed_until_ = 0;
   int at_work_ = 0;
   static constexpr double samples = 30;
   double service_ = 0;  // mean time at work of one that does not wait, microseconds
--- a/src/mesh/locus.cpp
+++ b/src/mesh/locus.cpp
@@ -94,7 +94,7 @@
   void heard(rumour::Machine from, std::string_view datagram) override {
     rumour::Outbox out;
     const auto k = rumour::kind_of(datagram);
-    if (k == rumour::kind::news || k == rumour::kind::digest) {
+    if (k == rumour::kind::news || k == rumour::kind::digest || k == rumour::kind::listing) {
       rumour_.heard(now(), from, datagram, out);
       if (const auto fresh = rumour_.fresh(); !fresh.empty()) keep_.keep(fresh);
     } else {
--- a/src/rumour/rumour.cpp
+++ b/src/rumour/rumour.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr std::int64_t alone_for = 1'500'000;  // then less than a majority is enough to begin with
-constexpr std::int64_t eager = 150'000;        // between digests of a node that is not caught up
+constexpr std::int64_t eager = 100'000, calm = 1'600'000;  // between digests of a node that is not caught up: each time longer
 constexpr std::int64_t heard_lately = 1'600'000;
 constexpr std::size_t most_records = 8;  // in a datagram
 }  // namespace
@@ -23,7 +23,11 @@
 void Rumour::state(std::int64_t now, Record own, Outbox& out) {
   own.machine = own_.machine, own.life = own_.life, own.zone = own_.zone, own.core = own_.core;
   own.word = own_.word, own.lapsed = false;
+  // How much longer it is cold is said when that begins and ends, not at each beat.
+  const std::uint32_t cold = own.cold_ms;
+  if (own.cold_ms > 0 && own_.cold_ms > 0 && own.cold_ms <= own_.cold_ms) own.cold_ms = own_.cold_ms;
   if (own_.word > 0 && own == own_) return;
+  own.cold_ms = cold;
   ++own.word;
   own_ = own;
   roll_.take(own_, now);
@@ -85,14 +89,39 @@
       for (auto& i : creed_.part(p)) items.push_back(std::move(i));
   if (!items.empty())
     for (auto& piece : pieces_of(std::move(items))) out.push_back({to, written(kind::news, News{std::move(piece), {}})});
+  std::uint32_t differ = 0;
+  for (std::size_t p = 0; p < creed::parts; ++p)
+    if (theirs.records[p] != roll_.digest()[p]) differ |= 1U << p;
+  if (differ != 0) send_listing(to, differ, false, out);
+}
+
+void Rumour::send_listing(Machine to, std::uint32_t differ, bool answer, Outbox& out) const {
+  Listing l;
+  l.answer = answer;
+  l.differ = differ;
+  for (const auto& [m, e] : roll_.entries())
+    if (differ >> Roll::part_of(m) & 1U) l.records.push_back({m, e.record.life, e.record.word, e.record.lapsed});
+  out.push_back({to, written(kind::listing, l)});
+}
+
+void Rumour::heard_listing(Machine from, const Listing& theirs, Outbox& out) const {
+  std::map<Machine, Record> told;
+  for (const Listed& l : theirs.records) {
+    Record& r = told[l.machine];
+    r.life = l.life, r.word = l.word, r.lapsed = l.lapsed;
+  }
+  bool lacks = false;  // this node does
   News news;
   for (const auto& [m, e] : roll_.entries()) {
-    const std::size_t p = Roll::part_of(m);
-    if (theirs.records[p] == roll_.digest()[p]) continue;
-    news.records.push_back(e.record);
-    if (news.records.size() >= most_records) out.push_back({to, written(kind::news, std::exchange(news, {}))});
+    if (!(theirs.differ >> Roll::part_of(m) & 1U)) continue;
+    const auto it = told.find(m);
+    if (it == told.end() || newer(e.record, it->second)) news.records.push_back(e.record);
+    else lacks = lacks || newer(it->second, e.record);
+    if (it != told.end()) told.erase(it);
+    if (news.records.size() >= most_records) out.push_back({from, written(kind::news, std::exchange(news, {}))});
   }
-  if (!news.records.empty()) out.push_back({to, written(kind::news, news)});
+  if (!news.records.empty()) out.push_back({from, written(kind::news, news)});
+  if ((lacks || !told.empty()) && !theirs.answer) send_listing(from, theirs.differ, true, out);
 }
 
 void Rumour::agreed(std::int64_t now, Machine with, bool whole) {
@@ -135,6 +164,10 @@
     if (!on.items.empty() || !on.records.empty()) pass_on(std::move(on), from, out);
     return;
   }
+  if (kind_of(datagram) == kind::listing) {
+    if (const auto listing = read<Listing>(datagram)) heard_listing(from, *listing, out);
+    return;
+  }
   if (kind_of(datagram) != kind::digest) return;
   const auto theirs = read<Told>(datagram);
   if (!theirs) return;
@@ -152,12 +185,9 @@
   }
   const bool same = theirs->items == creed_.digest();
   if (same) agreed(now, from, theirs->whole);
-  if (!same || theirs->records != roll_.digest()) {
-    send_gaps(from, *theirs, out);
-    if (!theirs->answer) send_digest(now, from, true, out);
-  } else if (!theirs->answer && (self_.core || !theirs->whole)) {
-    send_digest(now, from, true, out);  // a member learns that its lease is renewed, a new one that it has all
-  }
+  if (!same || theirs->records != roll_.digest()) send_gaps(from, *theirs, out);
+  // Whose items differ sends its own back, too; who begins learns by the answer that it has all.
+  if (!theirs->answer && (!same || !theirs->whole)) send_digest(now, from, true, out);
 }
 
 void Rumour::leapt(std::int64_t now, Outbox& out) {
@@ -171,17 +201,21 @@
   if (now < next_) return;
   const bool hurried = !self_.core && !caught_up_;
   std::uniform_int_distribution<std::int64_t> about(9, 11);
-  next_ = now + (hurried ? eager : round * about(chance_) / 10);
+  // All may begin at once, and the core is small: each asks less often the longer it takes.
+  eager_ = hurried ? std::min(calm, std::max(eager, 2 * eager_)) : 0;
+  next_ = now + (hurried ? eager_ : round) * about(chance_) / 10;
   std::vector<Machine> to;
   if (self_.core || hurried) {
-    to = cores_;
+    for (const Machine m : cores_)
+      if (self_.core || !agrees_.contains(m)) to.push_back(m);
     if (hurried)
       for (const Machine m : seeds_)
         if (std::find(to.begin(), to.end(), m) == to.end()) to.push_back(m);
   } else if (!cores_.empty()) {
     to.push_back(cores_[std::size_t(chance_()) % cores_.size()]);
   }
-  for (const Machine m : some(1, 0)) to.push_back(m);
+  if (!hurried)
+    for (const Machine m : some(1, 0)) to.push_back(m);
   std::sort(to.begin(), to.end());
   to.erase(std::unique(to.begin(), to.end()), to.end());
   for (const Machine m : to)
--- a/src/rumour/rumour.h
+++ b/src/rumour/rumour.h
@@ -60,6 +60,8 @@
   Told told(bool answer) const;
   void send_digest(std::int64_t now, Machine to, bool answer, Outbox& out) const;
   void send_gaps(Machine to, const Told& theirs, Outbox& out) const;
+  void send_listing(Machine to, std::uint32_t differ, bool answer, Outbox& out) const;
+  void heard_listing(Machine from, const Listing& theirs, Outbox& out) const;
   void pass_on(News news, Machine but, Outbox& out);
   std::vector<Machine> some(std::size_t most, Machine but);
   void agreed(std::int64_t now, Machine with, bool whole);
@@ -71,7 +73,7 @@
   creed::Creed& creed_;
   Roll roll_;
   std::mt19937 chance_;
-  std::int64_t next_ = 0, begun_ = -1;
+  std::int64_t next_ = 0, begun_ = -1, eager_ = 0;
   bool whole_ = false, caught_up_ = false;
   std::set<Machine> agrees_;
   std::vector<creed::Item> fresh_;
--- a/src/rumour/wire.h
+++ b/src/rumour/wire.h
@@ -52,7 +52,7 @@
   r.check(x.size);
 }
 
-enum class kind : std::uint8_t { news = 1, digest, fetch, fetched, store, stored };
+enum class kind : std::uint8_t { news = 1, digest, fetch, fetched, store, stored, listing };
 
 struct News {  // passed on to a few others
   std::vector<creed::Item> items;
@@ -84,6 +84,27 @@
   }
 };
 
+struct Listed {  // how new a record is that its sender holds
+  Machine machine = 0;
+  std::uint64_t life = 0;
+  std::uint32_t word = 0;
+  bool lapsed = false;
+  template <typename A>
+  void serialize(A& a) {
+    a(machine, life, word, lapsed);
+  }
+};
+
+struct Listing {  // of all records in the parts in which two differ: only what the other lacks is sent then
+  bool answer = false;
+  std::uint32_t differ = 0;  // a bit a part
+  std::vector<Listed> records;
+  template <typename A>
+  void serialize(A& a) {
+    a(answer, differ, records);
+  }
+};
+
 struct Fetch {  // a core asks another what it holds beyond this
   std::uint64_t id = 0;
   std::uint32_t round = 0;  // pieces of answers to different ones don't make one answer
--- a/tests/mesh/fleet.h
+++ b/tests/mesh/fleet.h
@@ -139,7 +139,7 @@
     Node& n = nodes.at(m);
     rumour::Outbox out;
     const auto k = rumour::kind_of(bytes);
-    if (k == rumour::kind::news || k == rumour::kind::digest) {
+    if (k == rumour::kind::news || k == rumour::kind::digest || k == rumour::kind::listing) {
       n.rumour->heard(net.now, from, bytes, out);
       if (n.keep) n.keep->keep(n.rumour->fresh());
     } else if (n.keep) {
--- a/tests/mesh/fleet_test.cpp
+++ b/tests/mesh/fleet_test.cpp
@@ -215,6 +215,22 @@
   CHECK(cost[1] < 1.2 * cost[0]);
 }
 
+// 90 that come back at once must not drown a core of a tenth of a processor: what it has to read and send is bounded.
+TEST(Fleet, the_return_of_ninety_at_once_costs_a_core_few_datagrams_and_all_catch_up) {
+  Fleet f(86, 3, 15);
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007", 20)));
+  f.run(3 * second);
+  for (auto& [m, n] : f.nodes) f.kill(m);
+  f.run(second);
+  for (auto& [m, n] : f.nodes) f.start(m);
+  const auto before = f.net.sent, bytes = f.net.bytes;
+  f.run(2 * second);
+  for (const auto& [m, n] : f.nodes) CHECK(n.core || n.rumour->caught_up());
+  CHECK(f.net.sent - before < 89 * 500);
+  CHECK(f.net.bytes - bytes < 89 * 160'000);
+  CHECK_EQUAL(200, f.settled(core(1), What::read));
+}
+
 // Kills, wiped disks, cuts, losses, two operators: whatever is drawn within the tolerance (one counted machine at a time),
 // what was acknowledged is read back as it was sent or newer, and no node of any life goes back.
 TEST(Fleet, nothing_acknowledged_is_lost_and_no_version_goes_back_under_drawn_faults) {
--- a/tests/mesh/gate_test.cpp
+++ b/tests/mesh/gate_test.cpp
@@ -74,6 +74,18 @@
   CHECK(all > 100);
 }
 
+TEST(Gate, a_process_that_begins_in_the_midst_of_a_cold_second_sends_nothing_more_in_it) {
+  Gate g;
+  Gate::Bounds b;
+  b.warmup_per_s = 5;
+  g.beat(0, server("a", 7), 3 * second);  // its seventh beat: the process before this one may have sent five just now
+  CHECK(held::cold == g.verdict(900 * ms, "a", b, usual));
+  CHECK(held::none == g.verdict(1'100 * ms, "a", b, usual));
+  Gate fresh;
+  fresh.beat(0, server("a", 1), 3 * second);
+  CHECK(held::none == fresh.verdict(1, "a", b, usual));
+}
+
 TEST(Gate, who_would_be_late_is_held_back_and_callers_that_have_worked_wait_longest) {
   Gate g;
   g.beat(0, server("a", 1), 0);
