--- a/src/ambit/hand.cpp
+++ b/src/ambit/hand.cpp
@@ -57,8 +57,11 @@
   if (last_instance_ != gate_.server().id) way_.forget(), last_instance_ = gate_.server().id;
   const int beside = gate_.at_work();
   gate_.sent(now());
+  errand->wrote = [this] { gate_.wrote(now()); };
   r.fate = co_await way_.carry(errand, parcel, until);
+  errand->wrote = nullptr;
   Fate& f = r.fate;
+  if (f.how_far < came::written) gate_.never_wrote();
   gate_.ended(beside, f.how_far == came::answered && f.status < 300 ? f.lag : 0);
   if (f.how_far < came::written) {
     r.how = outcome::held;
--- a/src/ambit/way.cpp
+++ b/src/ambit/way.cpp
@@ -103,7 +103,10 @@
       written += more;
     }
   }
-  if (written == head.size() + body.size()) f.how_far = came::written;
+  if (written == head.size() + body.size()) {
+    f.how_far = came::written;
+    if (errand->wrote) errand->wrote();
+  }
   if (error || errand->off) co_return told();
   for (int strangers = 0;;) {
     codec::reading got = c.in.whole() ? codec::reading::complete : co_await c.read(error);
--- a/src/ambit/way.h
+++ b/src/ambit/way.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -42,6 +43,7 @@
 // A request under way, which may be called off.
 struct Errand {
   bool off = false;
+  std::function<void()> wrote;  // told once, as the request is handed to the machine whole
   std::shared_ptr<Connection> connection;
   void call_off() {
     off = true;
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -87,12 +87,15 @@
     const double own = foreseen_part * double(a.to_aim);
     return b.shortest > 0 ? std::min(own, others_part * foreseen_part * double(b.shortest)) : own;
   }
-  // It goes to the server now.
-  void sent(std::int64_t now) {
+  // It is let through. Until it is written to the server it counts for any second: a busy process writes late, and what
+  // it let through in one second must not meet what it lets through in the next.
+  void sent(std::int64_t) { ++at_work_, ++unwritten_; }
+  void wrote(std::int64_t now) {
+    --unwritten_;
     sent_.push_back(now);
     if (sent_.size() > most_recent) sent_.pop_front();
-    ++at_work_;
   }
+  void never_wrote() { --unwritten_; }
   // `beside`: at work there when it was sent; `lag`: how long it took, 0 where it got no answer.
   void ended(int beside, std::int64_t lag) {
     --at_work_;
@@ -110,12 +113,12 @@
   static int cold_room(const Bounds& b) { return b.warmup_per_s < 1 ? 1 : int(b.warmup_per_s); }
   std::size_t recent(std::int64_t now) {
     while (!sent_.empty() && sent_.front() <= now - second - slack) sent_.pop_front();
-    return sent_.size();
+    return sent_.size() + std::size_t(unwritten_);
   }
   Server server_;
   bool gone_ = false;
   std::int64_t doubted_until_ = 0, closed_until_ = 0;
-  int at_work_ = 0;
+  int at_work_ = 0, unwritten_ = 0;
   static constexpr double samples = 30;
   double service_ = 0;  // mean time at work of one that does not wait, microseconds
   std::deque<std::int64_t> sent_;  // of the last second
