A posting ordered as its caller is held out is not sent behind a promise

Cause, found by reading: post() begins a turn after its order; where the quarter of the aim ended between, the caller got 503 and the request still went out (carry.cpp, run() and post(): REFUSED for what may not run again).

Change: a posting whose visit is over is reported as never sent.

--- a/src/ambit/carry.cpp
+++ b/src/ambit/carry.cpp
@@ -286,6 +286,11 @@
 
 awaitable<void> Carry::post(trip t, node::Order order) {
   const auto errand = t->out[order.posting];
+  // It begins a turn after it was ordered: a caller that was answered meanwhile (held out: a promise) gets nothing run.
+  if (t->visit->over()) {
+    t->desk->report(t->visit, order.posting, ending::moot, 0, nullptr);
+    co_return;
+  }
   const bool repeat = t->arrivals > 0;  // it would be a further arrival
   if (repeat && !account_.spend(steady_now(), t->service)) {
     t->desk->no_further(t->visit);
