Long uploads go on as they come, through both nodes, at the pace of the slower side

The time that a client has was also counted anew once its body had come.

Change: a body of over 64 KiB stays on its connection (Source) and is poured to the next hop piece by piece, after that hop has said that it wants it. What was let go goes to no second server; an upload cut off before its last byte has not run, and is told so at once with a time to come back; what is left of it is read out so that the answer is not lost. Bodies take a quarter of a process's memory at the most. The gate counts long ones that still come apart from those at work. A watch on a caller that is woken by bytes read before goes on watching.

--- a/src/ambit/carry.cpp
+++ b/src/ambit/carry.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::seconds write_limit = 10s, body_limit = 10s, probe_limit = 1s;
 constexpr micros unready_back = 300'000;      // when to come back to a node that is not ready
 constexpr micros closing_margin = 8'000;      // by which a server's time is shorter than its caller's: its word still gets here
+constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr int bodies_part = 4;                // of this process's memory that bodies may take, as a divisor
 constexpr auto closes_idle_after = 2500ms;    // after SIGTERM: callers have been told by then
 
 Manners between_nodes() {
@@ -31,12 +33,16 @@
 // Whether a caller of this connection is gone, told once, while nothing else is read there.
 class Watch {
  public:
-  Watch(std::shared_ptr<Connection> c, std::function<void()> gone) : c_(std::move(c)), state_(std::make_shared<State>()) {
+  // While a body is still being read that reading tells it: the watch begins when it is whole.
+  Watch(std::shared_ptr<Connection> c, std::shared_ptr<Source> source, std::function<void()> gone)
+      : c_(std::move(c)), source_(std::move(source)), state_(std::make_shared<State>()) {
     state_->gone = std::move(gone);
-    wait();
+    if (source_) source_->whole = [this] { wait(); };
+    else wait();
   }
   ~Watch() {
     state_->over = true;
+    if (source_) source_->whole = nullptr;
     asio::error_code ignored;
     if (c_->open() && state_->waits) c_->socket.cancel(ignored);
   }
@@ -48,17 +54,33 @@
     bool over = false, waits = false;
     std::function<void()> gone;
   };
-  void wait() {
-    state_->waits = true;
-    c_->socket.async_wait(tcp::socket::wait_read, [c = c_, s = state_](asio::error_code) {
+  void wait() { wait(c_, state_); }
+  static void wait(const std::shared_ptr<Connection>& c, const std::shared_ptr<State>& s) {
+    s->waits = true;
+    c->socket.async_wait(tcp::socket::wait_read, [c, s](asio::error_code cancelled) {
       s->waits = false;
-      if (!s->over && c->peer_gone()) s->gone();
+      if (s->over) return;
+      if (c->peer_gone()) s->gone();
+      else if (!cancelled && c->still()) wait(c, s);  // woken by what was read before
     });
   }
   std::shared_ptr<Connection> c_;
+  std::shared_ptr<Source> source_;
   std::shared_ptr<State> state_;
 };
 
+// What bodies take of this process's memory, while one is at work.
+class Share {
+ public:
+  Share(std::size_t& all, std::size_t mine) : all_(all), mine_(mine) { all_ += mine_; }
+  ~Share() { all_ -= mine_; }
+  Share(const Share&) = delete;
+  Share& operator=(const Share&) = delete;
+
+ private:
+  std::size_t &all_, mine_;
+};
+
 }  // namespace
 
 Carry::Carry(asio::io_context& io, const node::Clock& clock, Sockets& sockets, const ground::Settings& settings, Hand& hand, std::uint32_t seed)
@@ -69,6 +91,7 @@
       hand_(hand),
       choices_(io, clock, desk_counts_, settings, seed),
       plan_(std::make_shared<creed::Plan>()),
+      most_bodies_(std::size_t(settings.memory_mb) * 1024 * 1024 / bodies_part),
       chance_(seed),
       self_(span::machine_of(settings.ip)) {
   account_.bounds(settings.retry_window, settings.retry_ratio, settings.retry_slack, 1);
@@ -146,33 +169,46 @@
     }
     c->limit(steady::now() + std::chrono::microseconds(b.header));
     asio::error_code error;
-    const codec::reading got = c->in.whole() ? codec::reading::complete : co_await c->read(error, Connection::all, pace);
+    const codec::reading got = c->in.whole() ? codec::reading::complete : co_await c->read(error, Source::kept, pace);
     if (error || got == codec::reading::unfinished) co_return;
     c->no_limit();
     Answer a;
     bool gone = false;
-    const bool read = got == codec::reading::complete;
+    const auto source = got == codec::reading::longer ? std::make_shared<Source>(io_, c) : nullptr;
+    const bool read = got == codec::reading::complete || source;
     if (!read) {
       ++counts_.own_4xx;
       a = own(got == codec::reading::body_too_long ? 413 : got == codec::reading::head_too_long ? 431 : 400, "the request can't be read");
     } else {
+      if (source && c->in.wants_word()) {
+        std::size_t written = 0;
+        error = co_await c->write(go_on, {}, written);
+        if (error) co_return;
+      }
+      const Share share(bodies_, source ? Source::kept : c->in.body().size());
+      most_held_ = std::max(most_held_, bodies_);
       ++pending_;
-      a = co_await answer_to(c, gone);
+      if (bodies_ <= most_bodies_) a = co_await answer_to(c, source, gone);
+      else ++counts_.refused, a = own(503, "this node holds all it can", unready_back);
       --pending_;
+      while (source && source->pouring) co_await source->rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
     if (gone || !c->open()) co_return;
-    const bool stays = read && c->in.keep_alive() && !ending_;
+    const bool rest = source && !c->in.whole();
+    const bool stays = read && !rest && c->in.keep_alive() && !ending_;
     c->limit(steady::now() + write_limit);
     const bool bare = a.status == 204 || a.status == 304;
     const std::string head = fmt::format("HTTP/1.1 {} {}\r\n{}{}{}\r\n", a.status, port::phrase(a.status), a.headers,
                                          bare ? "" : fmt::format("Content-Length: {}\r\n", a.body.size()), stays ? "" : "Connection: close\r\n");
     std::size_t written = 0;
-    if (co_await c->write(head, c->in.method() == "HEAD" ? std::string_view() : std::string_view(a.body), written) || !stays) co_return;
+    error = co_await c->write(head, c->in.method() == "HEAD" ? std::string_view() : std::string_view(a.body), written);
+    if (!error && rest) co_await read_out(*c);
+    if (error || !stays) co_return;
     if (const auto next = c->in.next(); next != codec::reading::unfinished && next != codec::reading::complete) co_return;
   }
 }
 
-awaitable<Carry::Answer> Carry::answer_to(std::shared_ptr<Connection> c, bool& gone) {
+awaitable<Carry::Answer> Carry::answer_to(std::shared_ptr<Connection> c, std::shared_ptr<Source> source, bool& gone) {
   const codec::Message& m = c->in;
   const std::string id(m.header("X-Attempt-Id"));
   if (!codec::plain_word(id) || m.times("X-Attempt-Id") != 1 || !m.clean()) {
@@ -221,7 +257,8 @@
     t->common += fmt::format("{}: {}\r\n", name, codec::trim(value));
   }
   t->common += fmt::format("X-Caller-Service: {}\r\n", settings_.target);
-  if (m.has_body()) t->parcel->body = std::make_shared<const std::string>(m.body());
+  t->parcel->source = source;
+  if (!source && m.has_body()) t->parcel->body = std::make_shared<const std::string>(m.body());
   account_.taken(steady_now(), t->service);
   ++counts_.taken;
   limits::Taken taken;
@@ -232,10 +269,11 @@
 }
 
 awaitable<Carry::Answer> Carry::run(std::shared_ptr<Connection> c, trip t, bool& gone) {
-  const Watch watch(c, [&gone, t] {
+  t->left = [&gone, t = t.get()] {
     gone = true;
     t->desk->leave(t->visit);
-  });
+  };
+  const Watch watch(c, t->parcel->source, t->left);
   // What has not been offered to any server within a quarter of its aim is not held further.
   const auto held_out = std::make_shared<bool>(false);
   asio::steady_timer patience(io_, std::chrono::microseconds(t->channel->aim / 4));
@@ -291,6 +329,7 @@
     t->desk->report(t->visit, order.posting, ending::moot, 0, nullptr);
     co_return;
   }
+  const auto& source = t->parcel->source;
   const bool repeat = t->arrivals > 0;  // it would be a further arrival
   if (repeat && !account_.spend(steady_now(), t->service)) {
     t->desk->no_further(t->visit);
@@ -299,13 +338,16 @@
   }
   const micros begun = clock_.now(), left = t->visit->expiry - begun;
   auto parcel = std::make_shared<Parcel>(*t->parcel);
-  const gate::Gate::Asked asked{t->channel->deadline, std::max<micros>(0, t->aim_at - begun), left};
+  const gate::Gate::Asked asked{t->channel->deadline, std::max<micros>(0, t->aim_at - begun), left, source != nullptr};
   parcel->headers = fmt::format("{}X-Remaining-Ms: {}\r\n{}: {}\r\n{}: {}\r\n{}: {}\r\n", t->common, std::max<micros>(1, (left - closing_margin) / 1000),
                                 instance_header, order.server, deadline_header, asked.deadline / 1000, aim_header, asked.to_aim / 1000);
   ++t->offered;
   if (repeat) ++counts_.further;
   auto result = std::make_shared<Result>(co_await forward(errand, parcel, order.server, asked, clock_.at(t->visit->expiry)));
-  const micros lag = clock_.now() - begun;
+  const micros lag = source ? result->fate.lag : clock_.now() - begun;
+  // Who broke off is the caller: that tells nothing of the server, and it may be answered nothing any more.
+  if (source && source->failed && !t->visit->over()) t->left();
+  if (source && source->let_go) t->desk->no_further(t->visit);
   ending how = ending::error;
   switch (result->how) {
     case outcome::answered:
@@ -316,7 +358,7 @@
       break;
     case outcome::held:
       ++counts_.held;
-      how = result->why == "unreachable" ? ending::unreachable : ending::refused;
+      how = source && source->failed ? ending::withdrawn : result->why == "unreachable" ? ending::unreachable : ending::refused;
       break;
     case outcome::refused:
       ++t->arrivals;
@@ -352,6 +394,7 @@
   if (f.how_far < came::written) {
     r.how = outcome::held;
     r.why = "unreachable";
+    if (parcel->source && parcel->source->failed) co_return r;
     if (const auto w = ways_.find(machine); w != ways_.end()) w->second->forget();
   } else if (f.how_far == came::answered) {
     if (const auto why = f.header(held_header); !why.empty()) r.how = outcome::held, r.why = why;
@@ -367,7 +410,7 @@
 
 gate::Gate::Asked asked_by(const codec::Message& m) {
   const auto told = [&](std::string_view name) { return std::max<long long>(0, codec::whole_number(m.header(name))) * 1000; };
-  return {told(deadline_header), told(aim_header), told("X-Remaining-Ms")};
+  return {told(deadline_header), told(aim_header), told("X-Remaining-Ms"), m.longer_than(Source::kept)};
 }
 
 }  // namespace
@@ -381,9 +424,10 @@
       held = hand_.verdict(std::string(c.in.header(instance_header)), asked_by(c.in));
       if (held != gate::held::none) co_return codec::reading::unfinished;
       std::size_t written = 0;
-      error = co_await c.write("HTTP/1.1 100 Continue\r\n\r\n", {}, written);
+      error = co_await c.write(go_on, {}, written);
       if (error) co_return codec::reading::unfinished;
     }
+    if (c.in.longer_than(Source::kept)) co_return codec::reading::longer;
     if (c.in.came() - counted >= pace) counted = c.in.came(), c.limit(steady::now() + body_limit);
   }
 }
@@ -402,7 +446,8 @@
                                     gate::names[std::size_t(early)], c->in.header("X-Attempt-Id")), {}, written);
       co_return;
     }
-    if (got != codec::reading::complete) co_return;
+    const auto source = got == codec::reading::longer ? std::make_shared<Source>(io_, c) : nullptr;
+    if (got != codec::reading::complete && !source) co_return;
     c->no_limit();
     const codec::Message& m = c->in;
     auto parcel = std::make_shared<Parcel>();
@@ -418,7 +463,8 @@
       const auto [name, value] = m.header(i);
       if (!of_connection(name, listed) && !of_mesh(name)) parcel->headers += fmt::format("{}: {}\r\n", name, codec::trim(value));
     }
-    if (m.has_body()) parcel->body = std::make_shared<const std::string>(m.body()), inner_bytes_ += m.body().size();
+    parcel->source = source;
+    if (!source && m.has_body()) parcel->body = std::make_shared<const std::string>(m.body()), inner_bytes_ += m.body().size();
     Answer a;
     bool gone = false;
     ++pending_;
@@ -429,7 +475,7 @@
       const auto errand = std::make_shared<Errand>();
       Result r;
       {
-        const Watch watch(c, [&gone, errand] {
+        const Watch watch(c, source, [&gone, errand] {
           gone = true;
           errand->call_off();
         });
@@ -443,13 +489,17 @@
       }
     }
     --pending_;
-    if (gone || !c->open()) co_return;
-    const bool stays = c->in.keep_alive() && !ending_;
+    if (source) inner_bytes_ += c->in.came();
+    if (gone || !c->open() || (source && source->failed)) co_return;
+    const bool rest = source && !c->in.whole();
+    const bool stays = !rest && c->in.keep_alive() && !ending_;
     c->limit(steady::now() + write_limit);
     const std::string head = fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: {}\r\n{}\r\n", a.status, port::phrase(a.status), a.headers, a.body.size(),
                                          stays ? "" : "Connection: close\r\n");
     std::size_t written = 0;
-    if (co_await c->write(head, a.body, written) || !stays) co_return;
+    error = co_await c->write(head, a.body, written);
+    if (!error && rest) co_await read_out(*c);
+    if (error || !stays) co_return;
     if (const auto next = c->in.next(); next != codec::reading::unfinished && next != codec::reading::complete) co_return;
   }
 }
--- a/src/ambit/carry.h
+++ b/src/ambit/carry.h
@@ -30,6 +30,7 @@
   // What is still at work gets its answer by then.
   void end_by(micros at) { choices_.end_by(at); }
   std::size_t pending() const { return pending_; }
+  std::size_t most_held() const { return most_held_; }  // bytes of callers' bodies at once, so far
   void sweep();
 
   awaitable<void> serve(std::shared_ptr<Connection> c);        // a caller's
@@ -50,6 +51,7 @@
     const creed::Channel* channel = nullptr;
     std::shared_ptr<const creed::Plan> plan;  // keeps the channel
     std::string service;
+    std::function<void()> left;  // the caller has gone away
     node::Desk* desk = nullptr;
     node::Desk::visit visit;
     micros aim_at = 0;
@@ -66,12 +68,13 @@
     std::string headers, body;
   };
 
-  awaitable<Answer> answer_to(std::shared_ptr<Connection> c, bool& gone);
+  awaitable<Answer> answer_to(std::shared_ptr<Connection> c, std::shared_ptr<Source> source, bool& gone);
   awaitable<Answer> run(std::shared_ptr<Connection> c, trip t, bool& gone);
   awaitable<void> post(trip t, node::Order order);
   awaitable<Result> forward(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string server, gate::Gate::Asked asked,
                             steady::time_point until);
   // Reads another node's request; before a long body the gate is asked, and what it holds back is not sent at all.
+  // A body of more than `Source::kept` is left to be read on.
   awaitable<codec::reading> read_inner(Connection& c, asio::error_code& error, gate::held& held);
   awaitable<void> probe(node::Desk* desk, std::string server);
   Answer own(int status, std::string_view fault, micros come_back = 0);
@@ -90,6 +93,8 @@
   std::map<rumour::Machine, std::unique_ptr<Way>> ways_;
   std::map<const node::Desk*, bool> probing_;
   std::list<std::weak_ptr<Connection>> callers_;
+  const std::size_t most_bodies_;
+  std::size_t bodies_ = 0, most_held_ = 0;  // bytes of callers' bodies that are held
   std::mt19937 chance_;
   std::uint64_t number_ = 0;
   rumour::Machine self_ = 0;
--- a/src/ambit/hand.cpp
+++ b/src/ambit/hand.cpp
@@ -38,6 +38,7 @@
   gate::Gate::Bounds b;
   if (const auto s = plan_->services.find(gate_.server().service); s != plan_->services.end()) {
     b.warmup_per_s = s->second.warmup_per_s;
+    b.most_cold = b.warmup_per_s * settings_.warmup_overshoot + settings_.warmup_slack;
     b.conn_limit = s->second.conn_limit;
   }
   if (const auto d = shortest_.find(gate_.server().service); d != shortest_.end()) b.shortest = d->second;
@@ -56,13 +57,15 @@
   }
   if (last_instance_ != gate_.server().id) way_.forget(), last_instance_ = gate_.server().id;
   const int beside = gate_.at_work();
-  gate_.sent(now());
-  errand->wrote = [this] { gate_.wrote(now()); };
+  const bool comes = parcel->source != nullptr;
+  gate_.sent(comes);
+  errand->wrote = [this, comes] { gate_.wrote(now(), comes); };
   r.fate = co_await way_.carry(errand, parcel, until);
   errand->wrote = nullptr;
   Fate& f = r.fate;
-  if (f.how_far < came::written) gate_.never_wrote();
-  gate_.ended(beside, f.how_far == came::answered && f.status < 300 ? f.lag : 0);
+  const bool wrote = f.how_far >= came::written && !f.early;
+  if (wrote) gate_.ended(now(), beside, f.how_far == came::answered && f.status < 300 ? f.served : 0);
+  else gate_.never_wrote(comes);
   if (f.how_far < came::written) {
     r.how = outcome::held;
     r.why = "unreachable";
@@ -71,6 +74,8 @@
     const bool good = f.status >= 200 && f.status < 300;
     if (!f.header("X-Not-Executed").empty() || f.status == 421) {
       r.how = outcome::refused;
+    } else if (f.early) {
+      r.why = "spoilt";  // an answer to what it has not read whole
     } else if (good && (f.header("X-Server-Seal").empty() || f.header("X-Attempt-Id") != parcel->id || !f.header("Content-Encoding").empty())) {
       r.why = "spoilt";
     } else {
--- a/src/ambit/way.cpp
+++ b/src/ambit/way.cpp
@@ -13,6 +13,8 @@
 using namespace std::chrono_literals;
 constexpr codec::Limits answer_limits = {64 * 1024, 64 * 1024 * 1024};
 constexpr int most_strangers = 4;
+constexpr auto stall_limit = 5s;         // no byte of a long body for so long ends it
+constexpr auto read_out_limit = 2s;      // for what is left of one that nobody wants any more
 }  // namespace
 
 bool of_connection(std::string_view name, std::string_view listed) {
@@ -55,12 +57,87 @@
   std::erase_if(idle_, [&](const auto& c) { return now >= c->idle_since || !c->quiet(); });
 }
 
+awaitable<void> read_out(Connection& c) {
+  c.limit(steady::now() + read_out_limit);
+  asio::error_code error;
+  while (!c.in.whole()) {
+    c.in.pass_on();
+    if (co_await c.more(error) != codec::reading::unfinished || error) break;
+  }
+}
+
+awaitable<Way::Poured> Way::pour(std::shared_ptr<Connection> to, std::shared_ptr<Errand> errand, std::shared_ptr<Source> source, bool framed) {
+  Poured p;
+  // Whoever has something to say before it has all is heard at once: no more is sent.
+  struct Ear : std::enable_shared_from_this<Ear> {
+    Ear(std::shared_ptr<Connection> t, std::shared_ptr<Source> s) : to(std::move(t)), source(std::move(s)) {}
+    const std::shared_ptr<Connection> to;
+    const std::shared_ptr<Source> source;
+    bool early = false, over = false;
+    void wait() {
+      to->socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code cancelled) {
+        if (self->over || cancelled) return;
+        if (self->to->still()) return self->wait();  // woken by what was read before
+        self->early = true;
+        asio::error_code ignored;
+        if (self->to->open()) self->to->socket.cancel(ignored);
+        if (self->source->from->open()) self->source->from->socket.cancel(ignored);
+      });
+    }
+  };
+  const auto ear = std::make_shared<Ear>(to, source);
+  ear->wait();
+  Connection& from = *source->from;
+  source->pouring = true;
+  errand->source = source;
+  for (codec::reading got = from.in.whole() ? codec::reading::complete : codec::reading::unfinished;;) {
+    p.whole = got == codec::reading::complete;
+    const std::string_view body = from.in.body();
+    std::size_t written = 0;
+    // A chunk of nothing would end the body.
+    if (framed && !body.empty()) p.error = co_await to->write(fmt::format("{:x}\r\n", body.size()), {}, written);
+    if (!p.error && !body.empty()) p.error = co_await to->write(body, framed ? std::string_view("\r\n") : std::string_view(), written);
+    if (!p.error && framed && p.whole) p.error = co_await to->write("0\r\n\r\n", {}, written);
+    if (p.error || ear->early || errand->off) {
+      p.whole = p.whole && !p.error;
+      break;
+    }
+    if (p.whole) break;
+    source->let_go = true;
+    from.in.pass_on();
+    const auto since = steady::now();
+    from.limit(since + stall_limit);
+    asio::error_code error;
+    got = co_await from.more(error);
+    source->waited += steady::now() - since;
+    from.no_limit();
+    if (ear->early || errand->off) break;
+    if (error || (got != codec::reading::unfinished && got != codec::reading::complete)) {
+      source->failed = true;
+      break;
+    }
+    if (got == codec::reading::complete && source->whole) std::exchange(source->whole, nullptr)();
+  }
+  p.early = ear->early;
+  ear->over = true;
+  asio::error_code ignored;
+  if (to->open()) to->socket.cancel(ignored);
+  source->pouring = false;
+  errand->source.reset();
+  source->rest.cancel();
+  co_return p;
+}
+
 awaitable<Fate> Way::carry(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, steady::time_point until) {
   Fate f;
   const auto begun = steady::now();
+  auto handed = begun;
   const auto told = [&] {
-    f.ran_out = f.ran_out || steady::now() >= until;
-    f.lag = std::chrono::duration_cast<std::chrono::microseconds>(steady::now() - begun).count();
+    const auto now = steady::now();
+    const auto waited = parcel->source ? parcel->source->waited : steady::duration();
+    f.ran_out = f.ran_out || now >= until;
+    f.lag = std::chrono::duration_cast<std::chrono::microseconds>(now - begun - waited).count();
+    f.served = std::chrono::duration_cast<std::chrono::microseconds>(now - handed).count();
     errand->connection.reset();
     return std::move(f);
   };
@@ -84,10 +161,13 @@
   f.how_far = came::connected;
   c.limit(until);
   const std::string_view body = parcel->body ? std::string_view(*parcel->body) : std::string_view();
-  const bool sized = !body.empty() || parcel->method == "POST" || parcel->method == "PUT" || parcel->method == "PATCH";
-  const bool asks = manners_.asks_first > 0 && body.size() >= manners_.asks_first;
-  const std::string head = sized ? fmt::format("{} {} HTTP/1.1\r\n{}{}Content-Length: {}\r\n\r\n", parcel->method, parcel->target, parcel->headers,
-                                               asks ? "Expect: 100-continue\r\n" : "", body.size())
+  const std::shared_ptr<Source> source = parcel->source;
+  const bool framed = source && !source->from->in.told();
+  const bool sized = source || !body.empty() || parcel->method == "POST" || parcel->method == "PUT" || parcel->method == "PATCH";
+  const bool asks = manners_.asks_first > 0 && (source || body.size() >= manners_.asks_first);
+  const std::string length = framed ? "Transfer-Encoding: chunked" : fmt::format("Content-Length: {}", source ? *source->from->in.told() : body.size());
+  const std::string head = sized ? fmt::format("{} {} HTTP/1.1\r\n{}{}{}\r\n\r\n", parcel->method, parcel->target, parcel->headers,
+                                               asks ? "Expect: 100-continue\r\n" : "", length)
                                  : fmt::format("{} {} HTTP/1.1\r\n{}\r\n", parcel->method, parcel->target, parcel->headers);
   std::size_t written = 0;
   asio::error_code error = co_await c.write(head, asks ? std::string_view() : body, written);
@@ -99,12 +179,21 @@
     if (wanted) {
       if (c.in.next() == codec::reading::malformed) co_return told();
       std::size_t more = 0;
-      error = co_await c.write(body, {}, more);
+      if (!source) error = co_await c.write(body, {}, more);
       written += more;
     }
   }
-  if (written == head.size() + body.size()) {
+  bool all = written == head.size() + body.size();
+  if (source && wanted && !error) {
+    const Poured p = co_await pour(held, errand, source, framed);
+    all = p.whole, f.early = p.early && !p.whole;
+    error = f.early ? asio::error_code() : p.error;
+    wanted = !f.early;  // what its peer has not read whole leaves nothing to go on with
+    if (!all && !f.early) co_return told();
+  }
+  if (all && wanted) {
     f.how_far = came::written;
+    handed = steady::now();
     if (errand->wrote) errand->wrote();
   }
   if (error || errand->off) co_return told();
--- a/src/ambit/way.h
+++ b/src/ambit/way.h
@@ -20,10 +20,25 @@
 using node::steady;
 using tcp = asio::ip::tcp;
 
+// A body that is still coming from its sender: it goes on piece by piece, at the pace of the slower side. What a server was
+// given of it is gone, so no other can have it whole.
+struct Source {
+  static constexpr std::size_t kept = 64 * 1024;  // longer ones go on as they come
+  Source(asio::io_context& io, std::shared_ptr<Connection> c) : from(std::move(c)), rest(io, steady::time_point::max()) {}
+  const std::shared_ptr<Connection> from;
+  bool let_go = false;   // a part of it is gone
+  bool failed = false;   // its sender has broken off, or stands still
+  bool pouring = false;  // its bytes are being read; `rest` is cancelled when that is over
+  std::function<void()> whole;  // told once, when all of it has come
+  steady::duration waited{};    // for its sender
+  asio::steady_timer rest;
+};
+
 struct Parcel {  // a request as it goes on
   std::string id, method, target;
   std::string headers;  // each with its line end; without those that the way itself writes
   std::shared_ptr<const std::string> body;
+  std::shared_ptr<Source> source;  // in its place, for a long one
 };
 
 // Before `written` it is known not to have run: an incomplete request is never begun.
@@ -33,10 +48,12 @@
   came how_far = came::nowhere;
   bool ran_out = false;    // its time was over
   bool broken = false;     // an answer that is none: cut off, spoilt, another's
+  bool early = false;      // answered before it had all of a long body
   int status = 0;
   std::vector<std::pair<std::string, std::string>> headers;  // without those of the connection
   std::string body;
-  micros lag = 0;
+  micros lag = 0;     // in all, without what its sender took
+  micros served = 0;  // since it was handed over whole
   std::string_view header(std::string_view name) const;
 };
 
@@ -45,9 +62,12 @@
   bool off = false;
   std::function<void()> wrote;  // told once, as the request is handed to the machine whole
   std::shared_ptr<Connection> connection;
+  std::shared_ptr<Source> source;  // that is being poured
   void call_off() {
     off = true;
     if (connection) connection->close();
+    asio::error_code ignored;
+    if (source && source->pouring && source->from->open()) source->from->socket.cancel(ignored);
   }
 };
 
@@ -73,6 +93,11 @@
 
  private:
   std::shared_ptr<Connection> kept();
+  struct Poured {
+    asio::error_code error;
+    bool whole = false, early = false;  // early: its peer has said something before it had all
+  };
+  static awaitable<Poured> pour(std::shared_ptr<Connection> to, std::shared_ptr<Errand> errand, std::shared_ptr<Source> source, bool framed);
   asio::io_context& io_;
   Sockets& sockets_;
   tcp::endpoint to_;
@@ -80,6 +105,10 @@
   std::deque<std::shared_ptr<Connection>> idle_;
 };
 
+// Reads on, and drops, what is left of a message that has its answer already: a connection closed over unread bytes is reset,
+// and the answer with it.
+awaitable<void> read_out(Connection& c);
+
 // Names of headers that concern one connection only.
 bool of_connection(std::string_view name, std::string_view listed);
 
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -26,6 +26,7 @@
  public:
   struct Bounds {
     double warmup_per_s = 0;  // 0: not told
+    double most_cold = 1e9;   // in any second, by the rules: `warmup_per_s` with its overshoot and slack
     int conn_limit = 100;
     bool emptied = false;  // the zone
     std::int64_t shortest = 0;  // deadline of a route to this service; 0: there is none
@@ -33,6 +34,7 @@
   struct Asked {  // by one request
     std::int64_t deadline = 0;  // its route's
     std::int64_t to_aim = 0, to_deadline = 0;  // microseconds left
+    bool comes = false;  // its body is long and still on its way
   };
   // Of the time that a request has, so much at the most may pass before its answer is foreseen.
   static constexpr double foreseen_part = 0.8;
@@ -47,7 +49,7 @@
     if (!same) {
       // A process that begins does not know what the one before it sent in this second.
       const bool first = server_.id.empty() && told.sequence > 1;
-      sent_.clear(), gone_ = false;
+      sent_.clear(), ended_.clear(), gone_ = false;
       closed_until_ = first ? now + second + slack : 0;
     }
     told.heard = now;
@@ -73,13 +75,16 @@
     if (!instance.empty() && instance != server_.id) return held::other_instance;
     if (server_.draining) return held::draining;
     if (b.emptied) return held::emptied;
-    if (cold(now) && b.warmup_per_s > 0 && (now < closed_until_ || int(recent(now)) >= cold_room(b))) return held::cold;
-    if (at_work_ >= b.conn_limit - 2) return held::crowded;  // a probe and one that is being closed
-    if (at_work_ >= server_.slots && foreseen() > patience(b, asked)) return held::crowded;
+    if (cold(now) && b.warmup_per_s > 0 && (now < closed_until_ || int(recent(now)) >= cold_room(b) || may_arrive(now) + 1 >= b.most_cold))
+      return held::cold;
+    if (at_work_ + coming_ >= b.conn_limit - 2) return held::crowded;  // a probe and one that is being closed
+    // Long bodies that are still coming hold no slot: they meet only those that come as long.
+    const int before = at_work_ + (asked.comes ? coming_ : 0);
+    if (before >= server_.slots && foreseen(before) > patience(b, asked)) return held::crowded;
     return held::none;
   }
   // When one more would have its answer, by what calls took that did not wait.
-  double foreseen() const { return double(at_work_ + 1) / server_.slots * service_; }
+  double foreseen(int before) const { return double(before + 1) / server_.slots * service_; }
   // Who has the shortest deadline can't come again: a server's calls, mostly, whose caller has worked already. They have
   // until then; others are of use until their aim, and never so many that those would be late behind them.
   static double patience(const Bounds& b, const Asked& a) {
@@ -89,16 +94,19 @@
   }
   // It is let through. Until it is written to the server it counts for any second: a busy process writes late, and what
   // it let through in one second must not meet what it lets through in the next.
-  void sent(std::int64_t) { ++at_work_, ++unwritten_; }
-  void wrote(std::int64_t now) {
+  void sent(bool comes) { ++(comes ? coming_ : at_work_), ++unwritten_; }
+  void wrote(std::int64_t now, bool comes) {
     --unwritten_;
+    if (comes) --coming_, ++at_work_;
     sent_.push_back(now);
     if (sent_.size() > most_recent) sent_.pop_front();
   }
-  void never_wrote() { --unwritten_; }
-  // `beside`: at work there when it was sent; `lag`: how long it took, 0 where it got no answer.
-  void ended(int beside, std::int64_t lag) {
+  void never_wrote(bool comes) { --unwritten_, --(comes ? coming_ : at_work_); }
+  // Of one that was written. `beside`: at work there when it was sent; `lag`: how long it took, 0 where it got no answer.
+  void ended(std::int64_t now, int beside, std::int64_t lag) {
     --at_work_;
+    ended_.push_back(now);
+    if (ended_.size() > most_recent) ended_.pop_front();
     if (lag <= 0) return;
     const double alone = double(lag) / std::max(1.0, double(beside + 1) / server_.slots);
     service_ = service_ <= 0 ? alone : service_ + (alone - service_) / samples;
@@ -115,13 +123,19 @@
     while (!sent_.empty() && sent_.front() <= now - second - slack) sent_.pop_front();
     return sent_.size() + std::size_t(unwritten_);
   }
+  // How many the server may get in one second at the most, whatever held this process up: one is known to have arrived
+  // only once it has ended, and a process that is starved of its processor notes both ends late.
+  double may_arrive(std::int64_t now) {
+    while (!ended_.empty() && ended_.front() <= now - second - slack) ended_.pop_front();
+    return double(ended_.size()) + at_work_ + coming_;
+  }
   Server server_;
   bool gone_ = false;
   std::int64_t doubted_until_ = 0, closed_until_ = 0;
-  int at_work_ = 0, unwritten_ = 0;
+  int at_work_ = 0, coming_ = 0, unwritten_ = 0;
   static constexpr double samples = 30;
   double service_ = 0;  // mean time at work of one that does not wait, microseconds
-  std::deque<std::int64_t> sent_;  // of the last second
+  std::deque<std::int64_t> sent_, ended_;  // of the last second
 };
 
 }  // namespace robinpin::gate
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -72,6 +72,7 @@
 }
 
 bool Connection::quiet() { return !in.begun() && !in.behind() && peek() == peeked::nothing; }
+bool Connection::still() { return peek() == peeked::nothing; }
 bool Connection::peer_gone() { return peek() == peeked::end; }
 
 awaitable<asio::error_code> Connection::connect(tcp::endpoint to) {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -65,6 +65,7 @@
   // Whether the peer has neither sent anything nor closed: only then an idle connection is of use.
   bool quiet();
   bool peer_gone();
+  bool still();  // nothing to read, and not closed
   // As connecting took: the kernel's own measure has the peer's delayed acknowledgements in it.
   steady::duration round_trip() const { return round_trip_; }
 
--- a/tests/mesh/carry_test.cpp
+++ b/tests/mesh/carry_test.cpp
@@ -23,6 +23,7 @@
 // counts as run where `runs` says so.
 struct Box {
   std::function<std::string(const codec::Message&)> answer;
+  std::function<std::string(const codec::Message&)> early;  // to a long body of which only a part has come: nothing closes
   int arrivals = 0, runs = 0;
   std::string last_caller, last_instance, last_head;
 };
@@ -83,6 +84,8 @@
     return all;
   }
 
+  bool breaks_off = false;  // the client closes after what it has sent
+  void rest() { io.run_for(20ms); }  // what is under way ends: all of it is on this machine
   // A client's call at node 0, until its answer is there.
   Answered call(const std::string& head, const std::string& body = {}) {
     Answered got;
@@ -93,6 +96,11 @@
           if (!co_await c->connect(nodes_[0]->outbound.local_endpoint())) {
             std::size_t written = 0;
             co_await c->write(head, body, written);
+            if (breaks_off) {
+              c->close();
+              done = true;
+              co_return;
+            }
             asio::error_code error;
             if (co_await c->read(error) == codec::reading::complete) {
               got.status = c->in.status();
@@ -165,7 +173,17 @@
   awaitable<void> serve(Box& box, std::shared_ptr<node::Connection> c) {
     for (;;) {
       asio::error_code error;
-      if ((c->in.whole() ? codec::reading::complete : co_await c->read(error)) != codec::reading::complete) co_return;
+      codec::reading got = c->in.whole() ? codec::reading::complete : co_await c->read(error, 100'000);
+      if (got == codec::reading::longer && box.early) {
+        std::size_t written = 0;
+        while (c->in.came() < 200'000 && co_await c->more(error) == codec::reading::unfinished && !error) c->in.pass_on();
+        const std::string said = box.early(c->in);
+        if (!said.empty()) co_await c->write(said, {}, written);
+        c->abort();
+        co_return;
+      }
+      if (got == codec::reading::longer) got = co_await c->read(error);
+      if (got != codec::reading::complete) co_return;
       ++box.arrivals;
       box.last_caller = c->in.header("X-Caller-Service");
       box.last_instance = c->in.header("X-Target-Instance");
@@ -371,3 +389,56 @@
   STRCMP_EQUAL("hello, mesh", got.c_str());
   CHECK_EQUAL(1, m.runs());
 }
+
+TEST(Carry, an_upload_goes_on_as_it_comes_and_takes_no_more_of_a_node_than_its_buffer) {
+  for (const int remote : {0, 1}) {
+    Mesh m(2);
+    m.only({remote});
+    const std::string body(900'000, 'u');
+    std::size_t got = 0;
+    m.box(remote).answer = [&](const codec::Message& in) {
+      got = in.body().size();
+      return ++m.box(remote).runs, seal_of(in);
+    };
+    CHECK_EQUAL(200, m.post("/big/x", body).status);
+    CHECK_EQUAL(body.size(), got);
+    CHECK_EQUAL(1, m.runs());
+    CHECK(m.carry(0).most_held() <= 64 * 1024);
+    // The next one on the same connections, with chunks.
+    std::string chunks;
+    for (int i = 0; i < 30; ++i) chunks += fmt::format("{:x}\r\n{}\r\n", 10'000, std::string(10'000, 'c'));
+    CHECK_EQUAL(200, m.call("POST /big/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: u9\r\nX-Remaining-Ms: 2000\r\nTransfer-Encoding: chunked\r\n\r\n", chunks + "0\r\n\r\n").status);
+    CHECK_EQUAL(300'000, int(got));
+  }
+}
+
+TEST(Carry, an_upload_that_its_sender_breaks_off_runs_nowhere_and_leaves_nothing_at_the_gate) {
+  for (const int remote : {0, 1}) {
+    Mesh m(2);
+    m.only({remote});
+    m.breaks_off = true;
+    m.call("POST /big/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: u1\r\nX-Remaining-Ms: 2000\r\nContent-Length: 900000\r\n\r\n", std::string(400'000, 'u'));
+    m.rest();
+    CHECK_EQUAL(0, m.box(remote).arrivals);
+    CHECK_EQUAL(0, m.hand(remote).door().at_work());
+    CHECK_EQUAL(0, int(m.carry(0).pending()));
+  }
+}
+
+TEST(Carry, an_upload_cut_off_on_its_way_has_not_run_and_is_told_so_at_once_and_never_sent_again) {
+  const std::string not_executed = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string& said : {std::string(), not_executed})
+    for (const int remote : {0, 1}) {
+      Mesh m(2);
+      int cut = 0;
+      for (int i = 0; i < 2; ++i) m.box(i).early = [&](const codec::Message&) { return ++cut, said; };
+      m.only({remote});
+      const auto begun = std::chrono::steady_clock::now();
+      const Answered a = m.post("/big/x", std::string(900'000, 'u'));
+      CHECK_EQUAL(503, a.status);
+      CHECK(!a.retry_after.empty());
+      CHECK_EQUAL(1, cut);
+      CHECK_EQUAL(0, m.runs());
+      CHECK(std::chrono::steady_clock::now() - begun < 1s);  // of the two that it may take
+    }
+}
--- a/tests/mesh/gate_test.cpp
+++ b/tests/mesh/gate_test.cpp
@@ -49,7 +49,7 @@
   b.emptied = false;
   g.doubt_until(2 * second);
   CHECK(held::none == g.verdict(2, "a", b, usual));
-  g.sent(2);
+  g.sent(false);
   CHECK(held::cold == g.verdict(3, "a", b, usual));
   g.cold_for(4, 0);
   CHECK(held::none == g.verdict(5, "a", b, usual));
@@ -65,7 +65,7 @@
   std::size_t most = 0, all = 0;
   for (std::int64_t now = 0; now < 30 * second; now += std::int64_t(chance() % 40'000)) {
     if (g.verdict(now, "a", b, usual) != held::none) continue;
-    g.sent(now), g.wrote(now), g.ended(0, 0);
+    g.sent(false), g.wrote(now, false), g.ended(now, 0, 0);
     passed.push_back(now), ++all;
     while (passed.front() <= now - second) passed.pop_front();
     most = std::max(most, passed.size());
@@ -79,15 +79,15 @@
   Gate::Bounds b;
   b.warmup_per_s = 5;
   g.beat(0, server("a", 1), 60 * second);
-  for (int i = 0; i < 5; ++i) g.sent(i);
+  for (int i = 0; i < 5; ++i) g.sent(false);
   CHECK(held::cold == g.verdict(1'500 * ms, "a", b, usual));  // let through long ago, written to nobody yet
-  for (int i = 0; i < 5; ++i) g.wrote(1'600 * ms);
+  for (int i = 0; i < 5; ++i) g.wrote(1'600 * ms, false);
   CHECK(held::cold == g.verdict(2'500 * ms, "a", b, usual));
   CHECK(held::none == g.verdict(2'700 * ms, "a", b, usual));
-  g.sent(2'700 * ms), g.never_wrote(), g.ended(0, 0);
+  g.sent(false), g.never_wrote(false);
   for (int i = 0; i < 5; ++i) {
     CHECK(held::none == g.verdict(2'700 * ms, "a", b, usual));
-    g.sent(2'700 * ms);
+    g.sent(false);
   }
   CHECK(held::cold == g.verdict(2'700 * ms, "a", b, usual));
 }
@@ -109,11 +109,11 @@
   g.beat(0, server("a", 1), 0);
   Gate::Bounds b;
   b.shortest = 500 * ms;
-  for (int i = 0; i < 40; ++i) g.sent(i), g.wrote(i), g.ended(0, 100 * ms);
+  for (int i = 0; i < 40; ++i) g.sent(false), g.wrote(i, false), g.ended(i, 0, 100 * ms);
   int usual_most = 0, tight_most = 0;
-  for (; g.verdict(50, "a", b, usual) == held::none; ++usual_most) g.sent(50);
+  for (; g.verdict(50, "a", b, usual) == held::none; ++usual_most) g.sent(false);
   tight_most = usual_most;
-  for (; g.verdict(50, "a", b, asked(500 * ms, 150 * ms)) == held::none; ++tight_most) g.sent(50);
+  for (; g.verdict(50, "a", b, asked(500 * ms, 150 * ms)) == held::none; ++tight_most) g.sent(false);
   CHECK_EQUAL(8, usual_most);   // half of 0.8 x 500 ms at 4 slots of 100 ms
   CHECK_EQUAL(16, tight_most);  // all of it
 }
@@ -121,7 +121,7 @@
 TEST(Gate, a_free_slot_is_never_refused_however_slow_the_server_has_become) {
   Gate g;
   g.beat(0, server("a", 1), 0);
-  for (int i = 0; i < 40; ++i) g.sent(i), g.wrote(i), g.ended(0, 20 * second);
+  for (int i = 0; i < 40; ++i) g.sent(false), g.wrote(i, false), g.ended(i, 0, 20 * second);
   CHECK(held::none == g.verdict(50, "a", {}, usual));
 }
 
