A test of an order to send that meets a call already held out

Need: that a 503 by the quarter of the aim is a promise was held by reading alone.

Change: a test in which the server turns up and the time ends in one turn of the loop.

--- a/tests/mesh/carry_test.cpp
+++ b/tests/mesh/carry_test.cpp
@@ -102,7 +102,10 @@
           done = true;
         },
         asio::detached);
-    while (!done) io.run_one_for(10s);
+    while (!done) {
+      io.run_one_for(10s);
+      if (const auto then = meanwhile) then();
+    }
     return got;
   }
   Answered get(const std::string& path = "/safe/x", const std::string& more = {}) {
@@ -112,6 +115,7 @@
     return call(fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: t{}\r\nX-Remaining-Ms: 2000\r\nContent-Length: {}\r\n\r\n", path, ++number_, body.size()), body);
   }
   static rumour::Machine machine(int i) { return span::machine_of(fmt::format("127.0.22.{}", i + 1)); }
+  std::function<void()> meanwhile;  // after each turn of a call
 
   asio::io_context io;
   rumour::Roll roll;
@@ -371,3 +375,26 @@
   STRCMP_EQUAL("hello, mesh", got.c_str());
   CHECK_EQUAL(1, m.runs());
 }
+
+// A quarter of the aim ends as a server turns up, in one turn of the loop: the order to send is met by a call that is over.
+TEST(Carry, what_is_ordered_as_its_caller_is_held_out_is_not_sent) {
+  Mesh m(1, 2, 200);
+  CHECK_EQUAL(200, m.get().status);  // a connection to the server is kept: a byte that is written arrives
+  m.only({});
+  const auto taken = m.carry(0).counts().taken;
+  asio::steady_timer turns_up(m.io);
+  m.meanwhile = [&] {
+    if (m.carry(0).counts().taken == taken) return;
+    m.meanwhile = nullptr;
+    const auto now = std::chrono::steady_clock::now();
+    turns_up.expires_at(now);
+    turns_up.async_wait([&](asio::error_code) { m.only({0}); });
+    while (std::chrono::steady_clock::now() < now + 51ms) continue;  // both times have come before either is looked at
+  };
+  const Answered a = m.post();
+  for (int i = 0; i < 100; ++i) m.io.poll();  // what is under way arrives
+  CHECK_FALSE(bool(m.meanwhile));
+  CHECK_EQUAL(1, m.carry(0).endings().count("one:given up held out"));
+  CHECK_EQUAL(503, a.status);
+  CHECK_EQUAL(1, m.runs());
+}
