--- a/src/ambit/carry.cpp
+++ b/src/ambit/carry.cpp
@@ -324,7 +324,7 @@
 
 awaitable<void> Carry::post(trip t, node::Order order) {
   const auto errand = t->out[order.posting];
-  // It begins a turn after it was ordered: a caller that was answered meanwhile (held out: a promise) gets nothing run.
+  // Nothing is sent for a caller that has its answer (held out: a promise), however this coroutine comes to begin.
   if (t->visit->over()) {
     t->desk->report(t->visit, order.posting, ending::moot, 0, nullptr);
     co_return;
--- a/src/rumour/rumour.h
+++ b/src/rumour/rumour.h
@@ -43,6 +43,8 @@
   void heard(std::int64_t now, Machine from, std::string_view datagram, Outbox& out);
   // To be called every 100 ms or so.
   void tick(std::int64_t now, Outbox& out);
+  // Other seeds than before: those not known until now are asked until one with a whole copy answers.
+  void seeds(std::int64_t now, std::vector<Machine> told, Outbox& out);
   // Old news may have been believed while this process stood still: asked again.
   void leapt(std::int64_t now, Outbox& out);
 
@@ -51,7 +53,7 @@
   void cores(std::vector<Machine> known) { cores_ = std::move(known); }
   void whole(bool is) { whole_ = is; }
   // A node that begins holds enough once it agrees with a majority of the core, or with one part of it or a member that
-  // does, where no majority is heard for a while.
+  // does, where no majority is heard for a while; then it goes on asking all of the core until a majority agrees.
   bool caught_up() const { return caught_up_; }
   // Items that were news since this was last asked: a core has to store them.
   std::vector<creed::Item> fresh() { return std::exchange(fresh_, {}); }
@@ -59,6 +61,7 @@
  private:
   Told told(bool answer) const;
   void send_digest(std::int64_t now, Machine to, bool answer, Outbox& out) const;
+  void ask(Machine to, Outbox& out) const;
   void send_gaps(Machine to, const Told& theirs, Outbox& out) const;
   void send_listing(Machine to, std::uint32_t differ, bool answer, Outbox& out) const;
   void heard_listing(Machine from, const Listing& theirs, Outbox& out) const;
@@ -70,11 +73,12 @@
   Self self_;
   Record own_;
   std::vector<Machine> seeds_, cores_;
+  std::vector<Machine> unmet_;  // seeds told of since the start, none of which has answered with a whole copy
   creed::Creed& creed_;
   Roll roll_;
   std::mt19937 chance_;
-  std::int64_t next_ = 0, begun_ = -1, eager_ = 0;
-  bool whole_ = false, caught_up_ = false;
+  std::int64_t next_ = 0, begun_ = -1, eager_ = 0, next_ask_ = 0;
+  bool whole_ = false, caught_up_ = false, majority_ = false;
   std::set<Machine> agrees_;
   std::vector<creed::Item> fresh_;
   std::map<Machine, std::int64_t> leases_;      // at a core: when each was last heard, by anyone
