A large configuration costs what it brings: listings of items, plans by what changed, fewer datagrams

Change: plans read only items that changed, and come at most as often as takes a tenth of the processor; items are mended by listings of name, version and print, nothing is said of gaps while items come by the hundred; many items go in datagrams of 12 KB; what a core got no answer to is sent again ever rarer. The gate passes nothing before its node has caught up, and doubts its server's warmth after the process stood still. Who begins is ready only with a plan of all that it has caught up with.

--- a/src/ambit/carry.h
+++ b/src/ambit/carry.h
@@ -24,7 +24,7 @@
 
   void plan(std::shared_ptr<const creed::Plan> plan);
   void servers(const rumour::Roll& roll, std::int64_t now);
-  void ready(bool is) { ready_ = is; }
+  void ready(bool is) { ready_ = is, hand_.ready(is); }
   // From now on every answer is the last on its connection, and idle ones are closed after a while.
   void ends();
   // What is still at work gets its answer by then.
--- a/src/ambit/choices.cpp
+++ b/src/ambit/choices.cpp
@@ -48,13 +48,13 @@
   std::set<std::string> touched;
   for (const auto& [host, channels] : plan.hosts)
     for (const auto& [prefix, channel] : channels)
-      for (const creed::Share& s : channel.shares) {
+      for (const creed::Share& s : channel->shares) {
         Choice& c = choices_[s.service];
-        if (c.rows.emplace(key_of(channel), int(c.schemes.size())).second) {
+        if (c.rows.emplace(key_of(*channel), int(c.schemes.size())).second) {
           scheme_row row;
-          row.kind = channel.kind == creed::mode::idempotent ? repeats::repeatable : repeats::once_only;
-          row.sla = std::max<micros>(1, channel.aim);
-          row.expiry = std::max<micros>(1, channel.deadline);
+          row.kind = channel->kind == creed::mode::idempotent ? repeats::repeatable : repeats::once_only;
+          row.sla = std::max<micros>(1, channel->aim);
+          row.expiry = std::max<micros>(1, channel->deadline);
           row.revenue = 1;
           row.late_revenue = 0.3;
           c.schemes.push_back(row);
@@ -62,7 +62,9 @@
         }
       }
   for (auto& [name, c] : choices_) {
+    if (c.desk && !touched.contains(name) && c.nodes == nodes_) continue;
     Terms t = terms_of(c);
+    c.nodes = nodes_;
     if (!c.desk) {
       c.desk = std::make_unique<node::Desk>(io_, clock_, counters_, std::move(t), seed_ ^ hashed(name));
       asio::co_spawn(io_, c.desk->tick(), asio::detached);
--- a/src/ambit/choices.h
+++ b/src/ambit/choices.h
@@ -25,6 +25,7 @@
     std::map<std::tuple<int, micros, micros>, int> rows;  // by mode, aim and deadline: their number only grows
     std::vector<scheme_row> schemes;
     std::size_t servers = 0;  // that may be chosen
+    std::size_t nodes = 0;    // as its terms say
   };
 
   // Null for a service that no route goes to.
--- a/src/ambit/hand.cpp
+++ b/src/ambit/hand.cpp
@@ -30,12 +30,13 @@
   shortest_.clear();
   for (const auto& [host, channels] : plan_->hosts)
     for (const auto& [prefix, c] : channels)
-      for (const creed::Share& s : c.shares)
-        if (auto& d = shortest_[s.service]; d == 0 || c.deadline < d) d = c.deadline;
+      for (const creed::Share& s : c->shares)
+        if (auto& d = shortest_[s.service]; d == 0 || c->deadline < d) d = c->deadline;
 }
 
 gate::Gate::Bounds Hand::bounds() const {
   gate::Gate::Bounds b;
+  b.known = ready_;
   if (const auto s = plan_->services.find(gate_.server().service); s != plan_->services.end()) {
     b.warmup_per_s = s->second.warmup_per_s;
     b.most_cold = b.warmup_per_s * settings_.warmup_overshoot + settings_.warmup_slack;
--- a/src/ambit/hand.h
+++ b/src/ambit/hand.h
@@ -48,6 +48,7 @@
 
   gate::Gate& door() { return gate_; }
   void plan(std::shared_ptr<const creed::Plan> plan);
+  void ready(bool is) { ready_ = is; }  // caught up: before that nothing passes
   void sweep() { way_.sweep(); }
   std::int64_t now() const;
 
@@ -57,6 +58,7 @@
   Way way_;
   gate::Gate gate_;
   std::shared_ptr<const creed::Plan> plan_;
+  bool ready_ = false;
   std::string last_instance_;
   std::map<std::string, std::int64_t> shortest_;  // by service
 };
--- a/src/creed/creed.cpp
+++ b/src/creed/creed.cpp
@@ -18,6 +18,7 @@
   if (it == items_.end()) {
     if (items_.size() >= most_items) return false;
     items_.emplace(item.name, item);
+    ++counts_[part_of(item.name)];
   } else {
     if (!newer(item, it->second)) return false;
     digest_[part_of(item.name)] ^= print_of(it->second);
--- a/src/creed/creed.h
+++ b/src/creed/creed.h
@@ -23,12 +23,14 @@
   }
   const Digest& digest() const { return digest_; }
   std::vector<Item> part(std::size_t number) const;
+  std::size_t in_part(std::size_t number) const { return counts_[number]; }
   const Items& items() const { return items_; }
   std::uint64_t changes() const { return changes_; }  // grows with each
 
  private:
   Items items_;
   Digest digest_{};
+  std::array<std::size_t, parts> counts_{};
   std::uint64_t changes_ = 0;
 };
 
--- a/src/creed/plan.cpp
+++ b/src/creed/plan.cpp
@@ -71,26 +71,39 @@
     const auto slash = path.rfind('/');
     if (slash == path.npos) break;
     path.resize(slash + 1);
-    if (const auto found = of_host->second.find(path); found != of_host->second.end()) return &found->second;
+    if (const auto found = of_host->second.find(path); found != of_host->second.end()) return found->second.get();
     path.resize(slash);
   }
   return nullptr;
 }
 
-std::shared_ptr<const Plan> plan_of(const Creed& creed) {
+std::shared_ptr<const Plan> Planner::plan_of(const Creed& creed) {
   auto plan = std::make_shared<Plan>();
-  std::unordered_map<std::string, std::uint64_t> newest;  // of routes that share a place the newest is in force
+  std::unordered_map<std::string, Known> channels;
+  channels.reserve(channels_.size());
+  const auto read = [](const Item& item, rapidjson::Document& v) { return !v.Parse(item.text.data(), item.text.size()).HasParseError() && v.IsObject(); };
   for (const auto& [name, item] : creed.items()) {
     if (item.dropped) continue;
-    rapidjson::Document v;
-    if (v.Parse(item.text.data(), item.text.size()).HasParseError() || !v.IsObject()) continue;
     if (name.starts_with(channel_mark)) {
-      Channel c = channel_of(v);
-      std::uint64_t& version = newest[c.host + c.prefix];
-      if (item.version < version) continue;
-      version = item.version;
-      plan->hosts[c.host][c.prefix] = std::move(c);
-    } else if (name.starts_with(target_mark)) {
+      const std::uint64_t print = print_of(item);
+      Known known{print, item.version, nullptr};
+      if (auto before = channels_.extract(name); before && before.mapped().print == print) {
+        known = std::move(before.mapped());
+      } else if (rapidjson::Document v; read(item, v)) {
+        known.channel = std::make_shared<const Channel>(channel_of(v));
+      }
+      if (known.channel) {
+        // Of routes that share a place the newest is in force.
+        auto& place = plan->hosts[known.channel->host][known.channel->prefix];
+        const auto other = place ? channels.find(std::string(channel_mark) + place->label) : channels.end();
+        if (other == channels.end() || known.version >= other->second.version) place = known.channel;
+      }
+      channels.emplace(name, std::move(known));
+      continue;
+    }
+    rapidjson::Document v;
+    if (!read(item, v)) continue;
+    if (name.starts_with(target_mark)) {
       Service s;
       s.name = text_at(v, "/label");
       s.probe = text_at(v, "/probe", "/probe");
@@ -108,6 +121,7 @@
       b.idle = span_at(v, "/idle", b.idle);
     }
   }
+  channels_ = std::move(channels);
   return plan;
 }
 
--- a/src/creed/plan.h
+++ b/src/creed/plan.h
@@ -44,13 +44,24 @@
 };
 
 struct Plan {
-  std::unordered_map<std::string, std::unordered_map<std::string, Channel>> hosts;  // by host, by prefix
+  std::unordered_map<std::string, std::unordered_map<std::string, std::shared_ptr<const Channel>>> hosts;  // by host, by prefix
   std::map<std::string, Service, std::less<>> services;
   std::set<std::string, std::less<>> emptied;  // zones
   Bounds bounds;
   const Channel* find(std::string_view host, std::string_view target) const;
 };
 
-std::shared_ptr<const Plan> plan_of(const Creed& creed);
+// Builds plans of one copy as it grows: of a change only what changed is read again.
+class Planner {
+ public:
+  std::shared_ptr<const Plan> plan_of(const Creed& creed);
+
+ private:
+  struct Known {
+    std::uint64_t print = 0, version = 0;
+    std::shared_ptr<const Channel> channel;
+  };
+  std::unordered_map<std::string, Known> channels_;  // by item; as many as stand
+};
 
 }  // namespace robinpin::creed
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -10,8 +10,8 @@
 namespace robinpin::gate {
 
 // Why a request is held back before the server has heard of it; `none`: it may go on.
-enum class held { none, no_server, other_instance, draining, emptied, cold, crowded };
-constexpr const char* names[] = {"none", "no-server", "other-instance", "draining", "emptied", "cold", "crowded"};
+enum class held { none, no_server, other_instance, draining, emptied, cold, crowded, unready };
+constexpr const char* names[] = {"none", "no-server", "other-instance", "draining", "emptied", "cold", "crowded", "unready"};
 
 struct Server {
   std::string id, service, address;
@@ -25,6 +25,7 @@
 class Gate {
  public:
   struct Bounds {
+    bool known = true;        // what is in force here: who has not caught up knows neither its service's bounds nor emptied zones
     double warmup_per_s = 0;  // 0: not told
     double most_cold = 1e9;   // in any second, by the rules: `warmup_per_s` with its overshoot and slack
     int conn_limit = 100;
@@ -71,6 +72,7 @@
   int at_work() const { return at_work_; }
 
   held verdict(std::int64_t now, const std::string& instance, const Bounds& b, const Asked& asked) {
+    if (!b.known) return held::unready;
     if (!has_server()) return held::no_server;
     if (!instance.empty() && instance != server_.id) return held::other_instance;
     if (server_.draining) return held::draining;
--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -306,7 +306,7 @@
       continue;
     }
     if (now < w.next) continue;
-    w.next = now + again;
+    w.next = now + (w.pause = std::min(4 * again, 2 * w.pause));
     if (w.storing) send_stores(w, out);
     else send_fetches(w, here->first, out);
   }
--- a/src/locus/keep.h
+++ b/src/locus/keep.h
@@ -37,7 +37,7 @@
 class Keep {
  public:
   static constexpr std::int64_t patience = 850'000;  // microseconds: callers go elsewhere after a second of silence
-  static constexpr std::int64_t again = 70'000;      // between sends of what got no answer
+  static constexpr std::int64_t again = 70'000;      // until what got no answer is sent again, each time twice as long
   static constexpr std::size_t most_orders = 64;
 
   using Done = std::function<void(Outcome)>;
@@ -71,7 +71,7 @@
   struct Work {
     Order order;
     Done done;  // none: this core learns
-    std::int64_t until = 0, next = 0;
+    std::int64_t until = 0, next = 0, pause = again;
     std::uint32_t round = 0;
     bool storing = false;
     std::map<Machine, Asked> asked;
--- a/src/mesh/ambit.cpp
+++ b/src/mesh/ambit.cpp
@@ -107,7 +107,7 @@
     if (creed_.changes() != planned_) {
       planned_ = creed_.changes();
       const bool was_emptied = plan_ && plan_->emptied.contains(settings.zone);
-      plan_ = creed::plan_of(creed_);
+      plan_ = planner_.plan_of(creed_);
       carry_.plan(plan_);
       if (log::writes(log::part::node, log::level::debug))
         for (const auto& [name, item] : creed_.items()) log::debug(log::part::node, "item {} {:08x}{} {}", name, item.version, item.dropped ? " dropped" : "", item.text);
@@ -125,7 +125,9 @@
   void switched() override { learnt(); }  // the budget of further tries follows its figures
 
   void settle_ready() {
-    const bool is = rumour_.caught_up() && plan_ && !plan_->hosts.empty();
+    // Who has caught up acts on nothing older than that.
+    const bool is = knows_ || (rumour_.caught_up() && planned_ == creed_.changes() && plan_ && !plan_->hosts.empty());
+    knows_ = is;
     carry_.ready(is);
     if ((is && !ending_) != is_ready_) {
       is_ready_ = is && !ending_;
@@ -133,7 +135,9 @@
     }
   }
 
-  void ticked(bool) override {
+  void ticked(bool leapt) override {
+    // Its server went on while this process stood still, and may have turned cold: taken to be until it says so.
+    if (leapt) hand_.door().doubt_until(now() + settings.beat_period + 500'000);
     rumour::Outbox out;
     rumour_.tick(now(), out);
     send(out);
@@ -208,9 +212,10 @@
   asio::ip::tcp::acceptor outbound_, inbound_;
   ambit::Hand hand_;
   ambit::Carry carry_;
+  creed::Planner planner_;
   std::shared_ptr<const creed::Plan> plan_;
   std::uint64_t planned_ = 0, ticks_ = 0;
-  bool is_ready_ = false, ending_ = false, silent_ = false;
+  bool knows_ = false, is_ready_ = false, ending_ = false, silent_ = false;
   std::int64_t least_end_ = 0, last_end_ = 0;
 
 };
--- a/src/mesh/role.cpp
+++ b/src/mesh/role.cpp
@@ -12,6 +12,8 @@
 namespace {
 using namespace std::chrono_literals;
 constexpr auto tick_every = 100ms;
+constexpr std::int64_t learn_pause = 20'000;  // microseconds between two plans at the least
+constexpr std::int64_t learn_part = 9;        // times as long as the last plan took
 constexpr std::int64_t leap = 1'000'000;  // microseconds beyond its time that a tick may come before it tells of a stop
 
 log::level level_of(chronicle::event e) {
@@ -46,6 +48,7 @@
       begun_(now()),
       lookout_(ground::path_told(path), core),
       timer_(io_),
+      learns_(io_),
       signals_(io_, SIGTERM, SIGINT) {
   signals_.add(SIGHUP);
 }
@@ -77,10 +80,22 @@
 }
 
 void Role::changed() {
-  if (creed_.changes() == items_seen_ && rumour_.roll().changes() == records_seen_) return;
+  if (learns_later_ || (creed_.changes() == items_seen_ && rumour_.roll().changes() == records_seen_)) return;
+  const std::int64_t at = now();
+  if (at < next_learn_) {
+    learns_later_ = true;
+    learns_.expires_after(std::chrono::microseconds(next_learn_ - at));
+    learns_.async_wait([this](asio::error_code over) {
+      if (over) return;
+      learns_later_ = false;
+      changed();
+    });
+    return;
+  }
   items_seen_ = creed_.changes();
   records_seen_ = rumour_.roll().changes();
   learnt();
+  next_learn_ = now() + std::max(learn_pause, (now() - at) * learn_part);
 }
 
 void Role::tick() {
--- a/src/mesh/role.h
+++ b/src/mesh/role.h
@@ -49,7 +49,9 @@
   virtual void switched() = 0;
   // Ends the process without unwinding: coroutines at rest hold on to parts that would go before them.
   [[noreturn]] void leave(int code);
-  void changed();  // calls learnt() where the state or the roll has changed
+  // Calls learnt() where the state or the roll has changed: at once, but where changes come by the hundred so seldom that it
+  // takes a part of the processor only.
+  void changed();
 
   asio::io_context io_;
   chronicle::Chronicle chronicle_;
@@ -63,9 +65,11 @@
   void signals();
   void look(bool signalled);
   Lookout lookout_;
-  asio::steady_timer timer_;
+  asio::steady_timer timer_, learns_;
   asio::signal_set signals_;
   std::int64_t last_tick_ = 0;
+  std::int64_t next_learn_ = 0;
+  bool learns_later_ = false;
   std::uint64_t items_seen_ = 0, records_seen_ = 0, items_told_ = 0;
 };
 
--- a/src/rumour/rumour.cpp
+++ b/src/rumour/rumour.cpp
@@ -1,15 +1,19 @@
 #include "rumour.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace robinpin::rumour {
 
 namespace {
 constexpr std::int64_t alone_for = 1'500'000;  // then less than a majority is enough to begin with
 constexpr std::int64_t eager = 100'000, calm = 1'600'000;  // between digests of a node that is not caught up: each time longer
-constexpr std::int64_t short_of = 900'000;  // between asks of all cores by a node that began with less: each second round
+constexpr std::int64_t short_of = 850'000;  // between asks of all of the core by who began with less: each second round, whatever the rounds are drawn
 constexpr std::int64_t heard_lately = 1'600'000;
 constexpr std::size_t most_records = 8;  // in a datagram
+constexpr std::size_t few_items = 8;     // sent without a listing first
+constexpr std::size_t flood = 32;        // news of items within `flood_span`
+constexpr std::int64_t flood_span = 500'000;
 }  // namespace
 
 Rumour::Rumour(Self self, std::uint64_t life, std::vector<Machine> seeds, creed::Creed& creed, std::uint32_t chance)
@@ -100,26 +104,48 @@
   for (const Machine m : unmet_) ask(m, out);
 }
 
-// All that is held in the parts in which the two differ.
-void Rumour::send_gaps(Machine to, const Told& theirs, Outbox& out) const {
-  std::vector<creed::Item> items;
-  for (std::size_t p = 0; p < creed::parts; ++p)
-    if (theirs.items[p] != creed_.digest()[p])
-      for (auto& i : creed_.part(p)) items.push_back(std::move(i));
-  if (!items.empty())
+// Of what differs a few items are sent as they are; of many, and of records, a listing says first how new each is. While
+// items come in by the hundred the gaps are those that are about to be filled: nothing is said of them.
+void Rumour::send_gaps(std::int64_t now, Machine to, const Told& theirs, Outbox& out) const {
+  std::uint32_t items_differ = 0, differ = 0;
+  std::size_t many = 0;
+  if (now >= flood_until_)
+    for (std::size_t p = 0; p < creed::parts; ++p)
+      if (theirs.items[p] != creed_.digest()[p]) items_differ |= 1U << p, many += creed_.in_part(p);
+  if (items_differ != 0 && many <= few_items) {
+    std::vector<creed::Item> items;
+    for (std::size_t p = 0; p < creed::parts; ++p)
+      if (items_differ >> p & 1U)
+        for (auto& i : creed_.part(p)) items.push_back(std::move(i));
     for (auto& piece : pieces_of(std::move(items))) out.push_back({to, written(kind::news, News{std::move(piece), {}})});
-  std::uint32_t differ = 0;
+    items_differ = 0;
+  }
   for (std::size_t p = 0; p < creed::parts; ++p)
     if (theirs.records[p] != roll_.digest()[p]) differ |= 1U << p;
-  if (differ != 0) send_listing(to, differ, false, out);
+  // One of the two lists what it holds: the other sends what that lacks, and lists in turn where it lacks something itself.
+  if ((differ != 0 || items_differ != 0) && !theirs.answer) send_listing(to, differ, items_differ, false, out);
 }
 
-void Rumour::send_listing(Machine to, std::uint32_t differ, bool answer, Outbox& out) const {
+// As many datagrams as it takes, each whole for the parts that it names.
+void Rumour::send_listing(Machine to, std::uint32_t differ, std::uint32_t items_differ, bool answer, Outbox& out) const {
   Listing l;
   l.answer = answer;
   l.differ = differ;
   for (const auto& [m, e] : roll_.entries())
     if (differ >> Roll::part_of(m) & 1U) l.records.push_back({m, e.record.life, e.record.word, e.record.lapsed});
+  std::vector<std::vector<ListedItem>> listed(creed::parts);
+  if (items_differ != 0)
+    for (const auto& [name, item] : creed_.items())
+      if (const auto p = creed::part_of(name); items_differ >> p & 1U) listed[p].push_back({creed::hashed(name, 1), item.version, creed::print_of(item)});
+  for (std::size_t p = 0; p < creed::parts; ++p) {
+    if (!(items_differ >> p & 1U)) continue;
+    if (!l.items.empty() && l.items.size() + listed[p].size() > listed_at_once) {
+      out.push_back({to, written(kind::listing, std::exchange(l, {}))});
+      l.answer = answer;
+    }
+    l.items_differ |= 1U << p;
+    l.items.insert(l.items.end(), listed[p].begin(), listed[p].end());
+  }
   out.push_back({to, written(kind::listing, l)});
 }
 
@@ -129,18 +155,38 @@
     Record& r = told[l.machine];
     r.life = l.life, r.word = l.word, r.lapsed = l.lapsed;
   }
-  bool lacks = false;  // this node does
+  std::uint32_t differ = 0, items_differ = 0;  // parts of which this node lacks something
   News news;
   for (const auto& [m, e] : roll_.entries()) {
     if (!(theirs.differ >> Roll::part_of(m) & 1U)) continue;
     const auto it = told.find(m);
     if (it == told.end() || newer(e.record, it->second)) news.records.push_back(e.record);
-    else lacks = lacks || newer(it->second, e.record);
+    else if (newer(it->second, e.record)) differ |= 1U << Roll::part_of(m);
     if (it != told.end()) told.erase(it);
     if (news.records.size() >= most_records) out.push_back({from, written(kind::news, std::exchange(news, {}))});
   }
+  for (const auto& [m, r] : told) differ |= 1U << Roll::part_of(m);
   if (!news.records.empty()) out.push_back({from, written(kind::news, news)});
-  if ((lacks || !told.empty()) && !theirs.answer) send_listing(from, theirs.differ, true, out);
+
+  std::unordered_map<std::uint64_t, const ListedItem*> listed;
+  for (const ListedItem& i : theirs.items) listed.emplace(i.name, &i);
+  std::vector<creed::Item> items;
+  if (theirs.items_differ != 0)
+    for (const auto& [name, item] : creed_.items()) {
+      const auto p = creed::part_of(name);
+      if (!(theirs.items_differ >> p & 1U)) continue;
+      const auto it = listed.find(creed::hashed(name, 1));
+      const ListedItem* other = it == listed.end() ? nullptr : it->second;
+      if (other) listed.erase(it);
+      if (other && other->print == creed::print_of(item)) continue;
+      // Of one version in two wordings each shows its own: merging settles it.
+      if (!other || other->version <= item.version) items.push_back(item);
+      if (other && other->version >= item.version) items_differ |= 1U << p;
+    }
+  if (!items.empty())
+    for (auto& piece : pieces_of(std::move(items))) out.push_back({from, written(kind::news, News{std::move(piece), {}})});
+  if (!listed.empty()) items_differ |= theirs.items_differ;
+  if ((differ != 0 || items_differ != 0) && !theirs.answer) send_listing(from, differ, items_differ, true, out);
 }
 
 void Rumour::agreed(std::int64_t now, Machine with, bool whole) {
@@ -159,9 +205,11 @@
     const auto news = read<News>(datagram);
     if (!news) return;
     News on;
+    if (now >= flood_from_ + flood_span) flood_from_ = now, flood_count_ = 0;
     for (const creed::Item& i : news->items)
       if (creed_.take(i)) {
         on.items.push_back(i);
+        if (++flood_count_ > flood) flood_until_ = now + flood_span;
         if (self_.core) fresh_.push_back(i);
       }
     for (const Record& r : news->records) {
@@ -205,7 +253,7 @@
   }
   const bool same = theirs->items == creed_.digest();
   if (same) agreed(now, from, theirs->whole);
-  if (!same || theirs->records != roll_.digest()) send_gaps(from, *theirs, out);
+  if (!same || theirs->records != roll_.digest()) send_gaps(now, from, *theirs, out);
   // Whose items differ sends its own back, too; who begins learns by the answer that it has all.
   if (!theirs->answer && (!same || !theirs->whole)) send_digest(now, from, true, out);
 }
--- a/src/rumour/rumour.h
+++ b/src/rumour/rumour.h
@@ -62,8 +62,8 @@
   Told told(bool answer) const;
   void send_digest(std::int64_t now, Machine to, bool answer, Outbox& out) const;
   void ask(Machine to, Outbox& out) const;
-  void send_gaps(Machine to, const Told& theirs, Outbox& out) const;
-  void send_listing(Machine to, std::uint32_t differ, bool answer, Outbox& out) const;
+  void send_gaps(std::int64_t now, Machine to, const Told& theirs, Outbox& out) const;
+  void send_listing(Machine to, std::uint32_t differ, std::uint32_t items_differ, bool answer, Outbox& out) const;
   void heard_listing(Machine from, const Listing& theirs, Outbox& out) const;
   void pass_on(News news, Machine but, Outbox& out);
   std::vector<Machine> some(std::size_t most, Machine but);
@@ -81,6 +81,8 @@
   bool whole_ = false, caught_up_ = false, majority_ = false;
   std::set<Machine> agrees_;
   std::vector<creed::Item> fresh_;
+  std::int64_t flood_from_ = 0, flood_until_ = 0;  // items come in by the hundred
+  std::size_t flood_count_ = 0;
   std::map<Machine, std::int64_t> leases_;      // at a core: when each was last heard, by anyone
   std::map<Machine, std::int64_t> cores_heard_;  // when
   std::int64_t with_majority_ = 0;               // since when, at a core; 0: not now
--- a/src/rumour/wire.h
+++ b/src/rumour/wire.h
@@ -95,13 +95,22 @@
   }
 };
 
-struct Listing {  // of all records in the parts in which two differ: only what the other lacks is sent then
+struct ListedItem {  // how new an item is that its sender holds
+  std::uint64_t name = 0, version = 0, print = 0;  // its name's hash; its print tells what it says
+  template <typename A>
+  void serialize(A& a) {
+    a(name, version, print);
+  }
+};
+
+struct Listing {  // of all records and items in the parts in which two differ: only what the other lacks is sent then
   bool answer = false;
-  std::uint32_t differ = 0;  // a bit a part
+  std::uint32_t differ = 0, items_differ = 0;  // a bit a part
   std::vector<Listed> records;
+  std::vector<ListedItem> items;
   template <typename A>
   void serialize(A& a) {
-    a(answer, differ, records);
+    a(answer, differ, items_differ, records, items);
   }
 };
 
@@ -146,6 +155,9 @@
 
 constexpr std::size_t longest_datagram = 60'000;  // taken
 constexpr std::size_t full_datagram = 1'200;      // no further item is put into one that holds so much
+// Where items come by the hundred each datagram is dear (a wake-up, a call, a sync at a core): fewer and larger ones.
+constexpr std::size_t bulk_datagram = 12'000, bulk = 16 * full_datagram;
+constexpr std::size_t listed_at_once = 1'000;     // items in a listing, about
 
 template <typename T>
 std::string written(kind k, const T& said) {
@@ -176,9 +188,11 @@
 // Items in pieces that each fit a datagram; one piece at the least.
 inline std::vector<std::vector<creed::Item>> pieces_of(std::vector<creed::Item> items) {
   std::vector<std::vector<creed::Item>> pieces(1);
-  std::size_t size = 0;
+  std::size_t size = 0, all = 0;
+  for (const creed::Item& i : items) all += size_of(i);
+  const std::size_t most = all > bulk ? bulk_datagram : full_datagram;
   for (creed::Item& i : items) {
-    if (!pieces.back().empty() && size + size_of(i) > full_datagram) pieces.emplace_back(), size = 0;
+    if (!pieces.back().empty() && size + size_of(i) > most) pieces.emplace_back(), size = 0;
     size += size_of(i);
     pieces.back().push_back(std::move(i));
   }
--- a/tests/mesh/carry_test.cpp
+++ b/tests/mesh/carry_test.cpp
@@ -59,7 +59,7 @@
       s.id = r.server, s.service = "one", s.slots = 4, s.sequence = 1;
       nodes_[std::size_t(i)]->hand->door().beat(ambit::steady_now(), s, 0);
     }
-    plan = creed::plan_of(c);
+    plan = creed::Planner().plan_of(c);
     for (auto& node : nodes_) {
       node->carry->plan(plan);
       node->carry->servers(roll, ambit::steady_now());
--- a/tests/mesh/creed_test.cpp
+++ b/tests/mesh/creed_test.cpp
@@ -116,7 +116,7 @@
 TEST(Creed, the_longest_prefix_of_the_host_wins_and_none_is_none) {
   creed::Creed c = stands(first_call("00000007"));
   c.take({"c/deep", 7, false, R"({"label":"deep","authority":"A.example","path_prefix":"/p0/deep/","mode":"inflow","deadline":"1s","target":"one"})"});
-  const auto plan = creed::plan_of(c);
+  const auto plan = creed::Planner().plan_of(c);
   STRCMP_EQUAL("deep", plan->find("a.EXAMPLE:80", "/p0/deep/x?y=/p1/")->label.c_str());
   STRCMP_EQUAL("r0", plan->find("a.example", "/p0/deeper")->label.c_str());
   CHECK(plan->find("a.example", "/p0") == nullptr);
