Uploads are let in by what the link beside their server brings in time

Change: the gate sums the bytes that are to come and lets a further body in if all of it comes within 0.8 of its aim over 0.85 of the link that the settings tell; late ones only where little else is on the way; one alone always. Beside the server bodies go on as they come from 8 KiB.

--- a/src/ambit/carry.cpp
+++ b/src/ambit/carry.cpp
@@ -26,7 +26,7 @@
   m.dial_limit = 250ms;
   m.idle_limit = 25s;
   m.user_timeout_ms = 800;
-  m.asks_first = 8 * 1024;
+  m.asks_first = Source::handed;
   return m;
 }
 
@@ -338,7 +338,7 @@
   }
   const micros begun = clock_.now(), left = t->visit->expiry - begun;
   auto parcel = std::make_shared<Parcel>(*t->parcel);
-  const gate::Gate::Asked asked{t->channel->deadline, std::max<micros>(0, t->aim_at - begun), left, source != nullptr};
+  const gate::Gate::Asked asked{t->channel->deadline, std::max<micros>(0, t->aim_at - begun), left, source != nullptr, source ? double(source->from->in.told().value_or(Source::kept)) : 0};
   parcel->headers = fmt::format("{}X-Remaining-Ms: {}\r\n{}: {}\r\n{}: {}\r\n{}: {}\r\n", t->common, std::max<micros>(1, (left - closing_margin) / 1000),
                                 instance_header, order.server, deadline_header, asked.deadline / 1000, aim_header, asked.to_aim / 1000);
   ++t->offered;
@@ -410,7 +410,8 @@
 
 gate::Gate::Asked asked_by(const codec::Message& m) {
   const auto told = [&](std::string_view name) { return std::max<long long>(0, codec::whole_number(m.header(name))) * 1000; };
-  return {told(deadline_header), told(aim_header), told("X-Remaining-Ms"), m.longer_than(Source::kept)};
+  const bool comes = m.longer_than(Source::handed);
+  return {told(deadline_header), told(aim_header), told("X-Remaining-Ms"), comes, comes ? double(m.told().value_or(Source::kept)) : 0};
 }
 
 }  // namespace
@@ -427,7 +428,7 @@
       error = co_await c.write(go_on, {}, written);
       if (error) co_return codec::reading::unfinished;
     }
-    if (c.in.longer_than(Source::kept)) co_return codec::reading::longer;
+    if (c.in.longer_than(Source::handed)) co_return codec::reading::longer;
     if (c.in.came() - counted >= pace) counted = c.in.came(), c.limit(steady::now() + body_limit);
   }
 }
--- a/src/ambit/carry.h
+++ b/src/ambit/carry.h
@@ -74,7 +74,7 @@
   awaitable<Result> forward(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, std::string server, gate::Gate::Asked asked,
                             steady::time_point until);
   // Reads another node's request; before a long body the gate is asked, and what it holds back is not sent at all.
-  // A body of more than `Source::kept` is left to be read on.
+  // A body of more than `Source::handed` is left to be read on.
   awaitable<codec::reading> read_inner(Connection& c, asio::error_code& error, gate::held& held);
   awaitable<void> probe(node::Desk* desk, std::string server);
   Answer own(int status, std::string_view fault, micros come_back = 0);
--- a/src/ambit/hand.cpp
+++ b/src/ambit/hand.cpp
@@ -1,5 +1,6 @@
 #include "hand.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace robinpin::ambit {
@@ -37,6 +38,7 @@
 gate::Gate::Bounds Hand::bounds() const {
   gate::Gate::Bounds b;
   b.known = ready_;
+  b.link = settings_.link_mbps * 1e6 / 8;
   if (const auto s = plan_->services.find(gate_.server().service); s != plan_->services.end()) {
     b.warmup_per_s = s->second.warmup_per_s;
     b.most_cold = b.warmup_per_s * settings_.warmup_overshoot + settings_.warmup_slack;
@@ -60,9 +62,17 @@
   const int beside = gate_.at_work();
   const bool comes = parcel->source != nullptr;
   gate_.sent(comes);
+  // Of its bytes those that have come, and at its end the others, are counted no more.
+  const auto to_come = std::make_shared<double>(asked.bytes);
+  const auto came = [this, to_come](double bytes) {
+    bytes = std::min(bytes, *to_come);
+    gate_.comes(-bytes), *to_come -= bytes;
+  };
+  if (comes) gate_.comes(*to_come), parcel->source->moved = came;
   errand->wrote = [this, comes] { gate_.wrote(now(), comes); };
   r.fate = co_await way_.carry(errand, parcel, until);
   errand->wrote = nullptr;
+  if (comes) parcel->source->moved = nullptr, came(*to_come);
   Fate& f = r.fate;
   const bool wrote = f.how_far >= came::written && !f.early;
   if (wrote) gate_.ended(now(), beside, f.how_far == came::answered && f.status < 300 ? f.served : 0);
--- a/src/ambit/way.cpp
+++ b/src/ambit/way.cpp
@@ -106,11 +106,13 @@
     source->let_go = true;
     from.in.pass_on();
     const auto since = steady::now();
+    const auto before = from.in.came();
     from.limit(since + stall_limit);
     asio::error_code error;
     got = co_await from.more(error);
     source->waited += steady::now() - since;
     from.no_limit();
+    if (source->moved) source->moved(double(from.in.came() - before));
     if (ear->early || errand->off) break;
     if (error || (got != codec::reading::unfinished && got != codec::reading::complete)) {
       source->failed = true;
--- a/src/ambit/way.h
+++ b/src/ambit/way.h
@@ -23,12 +23,14 @@
 // A body that is still coming from its sender: it goes on piece by piece, at the pace of the slower side. What a server was
 // given of it is gone, so no other can have it whole.
 struct Source {
-  static constexpr std::size_t kept = 64 * 1024;  // longer ones go on as they come
+  static constexpr std::size_t kept = 64 * 1024;  // longer ones go on as they come; up to it another server can be tried
+  static constexpr std::size_t handed = 8 * 1024;  // the same beside the server, where there is no other to try
   Source(asio::io_context& io, std::shared_ptr<Connection> c) : from(std::move(c)), rest(io, steady::time_point::max()) {}
   const std::shared_ptr<Connection> from;
   bool let_go = false;   // a part of it is gone
   bool failed = false;   // its sender has broken off, or stands still
   bool pouring = false;  // its bytes are being read; `rest` is cancelled when that is over
+  std::function<void(double)> moved;  // told of each piece, in bytes
   std::function<void()> whole;  // told once, when all of it has come
   steady::duration waited{};    // for its sender
   asio::steady_timer rest;
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -30,17 +30,21 @@
     double most_cold = 1e9;   // in any second, by the rules: `warmup_per_s` with its overshoot and slack
     int conn_limit = 100;
     bool emptied = false;  // the zone
+    double link = 0;            // bytes a second that this machine's link carries; 0: not told
     std::int64_t shortest = 0;  // deadline of a route to this service; 0: there is none
   };
   struct Asked {  // by one request
     std::int64_t deadline = 0;  // its route's
     std::int64_t to_aim = 0, to_deadline = 0;  // microseconds left
     bool comes = false;  // its body is long and still on its way
+    double bytes = 0;    // of that, as told
   };
   // Of the time that a request has, so much at the most may pass before its answer is foreseen.
   static constexpr double foreseen_part = 0.8;
   // Others leave so much of the time of those with the shortest deadline free.
   static constexpr double others_part = 0.5;
+  static constexpr double bodies_part = 0.85;  // of a link that long bodies get
+  static constexpr double late_part = 0.1;
   static constexpr std::int64_t second = 1'000'000;
 
   // What a server says of itself. False for a late beat of the life at hand.
@@ -81,6 +85,8 @@
       return held::cold;
     if (at_work_ + coming_ >= b.conn_limit - 2) return held::crowded;  // a probe and one that is being closed
     // Long bodies that are still coming hold no slot: they meet only those that come as long.
+    if (asked.comes && coming_ > 0 && b.link > 0 && (coming_bytes_ + asked.bytes) / (bodies_part * b.link) * second + service_ > awaited(asked))
+      return held::crowded;
     const int before = at_work_ + (asked.comes ? coming_ : 0);
     if (before >= server_.slots && foreseen(before) > patience(b, asked)) return held::crowded;
     return held::none;
@@ -94,9 +100,13 @@
     const double own = foreseen_part * double(a.to_aim);
     return b.shortest > 0 ? std::min(own, others_part * foreseen_part * double(b.shortest)) : own;
   }
+  // How long a body may take to come. Together those that come share this machine's link: more of them make all late, and with
+  // them what else is to get through. One that is late already goes where there is little else on the way.
+  static double awaited(const Asked& a) { return a.to_aim > 0 ? foreseen_part * double(a.to_aim) : late_part * double(a.to_deadline); }
   // It is let through. Until it is written to the server it counts for any second: a busy process writes late, and what
   // it let through in one second must not meet what it lets through in the next.
   void sent(bool comes) { ++(comes ? coming_ : at_work_), ++unwritten_; }
+  void comes(double bytes) { coming_bytes_ += bytes; }  // of long bodies, to come; below zero: have come, or never will
   void wrote(std::int64_t now, bool comes) {
     --unwritten_;
     if (comes) --coming_, ++at_work_;
@@ -135,6 +145,7 @@
   bool gone_ = false;
   std::int64_t doubted_until_ = 0, closed_until_ = 0;
   int at_work_ = 0, coming_ = 0, unwritten_ = 0;
+  double coming_bytes_ = 0;
   static constexpr double samples = 30;
   double service_ = 0;  // mean time at work of one that does not wait, microseconds
   std::deque<std::int64_t> sent_, ended_;  // of the last second
--- a/src/ground/ground.cpp
+++ b/src/ground/ground.cpp
@@ -102,6 +102,7 @@
     r.number("/envelope/warmup_overshoot", s.warmup_overshoot, 0);
     r.number("/envelope/warmup_slack", s.warmup_slack, 0);
     r.number("/saturation/cpu_share", s.cpu_share, 0);
+    r.number("/saturation/link_mbps", s.link_mbps, 0);
     double memory = s.memory_mb, files = s.file_limit;
     r.number("/saturation/memory_mb", memory, 1);
     r.number("/saturation/file_limit", files, 64);
--- a/src/ground/ground.h
+++ b/src/ground/ground.h
@@ -23,6 +23,7 @@
   double retry_ratio = 0.2, retry_slack = 0;
   double warmup_overshoot = 1, warmup_slack = 0;
   double cpu_share = 1;
+  double link_mbps = 0;  // 0: not told
   int memory_mb = 256, file_limit = 1024;
   bool operator==(const Settings&) const = default;
 };
--- a/tests/mesh/gate_test.cpp
+++ b/tests/mesh/gate_test.cpp
@@ -1,4 +1,7 @@
+#include <deque>
+#include <map>
 #include <random>
+#include <vector>
 
 #include "../../src/ambit/account.h"
 #include "../../src/gate/gate.h"
@@ -145,3 +148,61 @@
   }
   CHECK(spent > 50);
 }
+
+TEST(Gate, nothing_passes_before_its_node_knows_what_is_in_force) {
+  Gate g;
+  g.beat(0, server("a", 1), 60 * second);
+  Gate::Bounds b;
+  b.known = false;  // so neither the rate of a cold server nor emptied zones are known
+  CHECK(held::unready == g.verdict(1, "a", b, usual));
+}
+
+TEST(Gate, long_bodies_are_let_in_as_far_as_the_link_brings_them_in_time) {
+  Gate g;
+  g.beat(0, server("a", 1), 0);
+  Gate::Bounds b;
+  b.link = 1e6;
+  Gate::Asked upload = {10 * second, 1'000 * ms, 10 * second, true, 300'000};
+  std::deque<double> coming;
+  const auto let_in = [&](const Gate::Asked& a) {
+    int n = 0;
+    for (; g.verdict(1, "a", b, a) == held::none && n < 100; ++n) g.sent(true), g.comes(a.bytes), coming.push_back(a.bytes);
+    return n;
+  };
+  CHECK_EQUAL(2, let_in(upload));  // 0.6 MB of the 0.68 that come in 0.8 of its aim
+  CHECK(held::none == g.verdict(1, "a", b, usual));  // others don't wait for them
+  upload.to_aim = 0;  // late already: only where there is little else on the way
+  CHECK_EQUAL(0, let_in(upload));
+  g.comes(-600'000), g.wrote(1, true), g.ended(1, 0, 0), g.wrote(1, true), g.ended(1, 0, 0);
+  CHECK_EQUAL(2, let_in(upload));
+  g.comes(-600'000), g.never_wrote(true), g.never_wrote(true);
+  upload.bytes = 50'000'000;  // longer than any patience: alone it still goes
+  CHECK_EQUAL(1, let_in(upload));
+}
+
+TEST(Gate, what_a_starved_node_notes_late_never_brings_a_cold_server_more_than_the_rules_allow) {
+  Gate g;
+  g.beat(0, server("a", 1), 600 * second);
+  Gate::Bounds b;
+  b.warmup_per_s = 14, b.most_cold = 29, b.conn_limit = 1'000;
+  // Each batch is noted as written at once and arrives up to 1.5 s later, as it is answered: batches may meet there.
+  std::mt19937 chance(5);
+  std::multimap<std::int64_t, std::int64_t> ends;
+  std::vector<std::int64_t> arrivals;
+  for (std::int64_t now = 0; now < 60 * second; now += 10 * ms) {
+    for (; !ends.empty() && ends.begin()->first <= now; ends.erase(ends.begin())) g.ended(now, 0, 0);
+    while (g.verdict(now, "a", b, usual) == held::none) {
+      g.sent(false), g.wrote(now, false);
+      const std::int64_t at = (now / second + 1) * second + 100 * ms + std::int64_t(chance() % 50'000);  // all at the same moment
+      arrivals.push_back(at), ends.emplace(at, at);
+    }
+  }
+  std::sort(arrivals.begin(), arrivals.end());
+  std::size_t most = 0;
+  for (std::size_t i = 0, j = 0; j < arrivals.size(); ++j) {
+    while (arrivals[i] <= arrivals[j] - second) ++i;
+    most = std::max(most, j - i + 1);
+  }
+  CHECK(most <= 29);
+  CHECK(arrivals.size() > 60 * 7);  // and it gets what it bears, about
+}
