--- a/tests/mesh/explore.h
+++ b/tests/mesh/explore.h
@@ -82,7 +82,7 @@
   using Letter = std::tuple<int, int, std::string>;  // from, to, bytes
   enum class does { deliver, twice, call, tick, round, kill, wipe, start };
   struct Step {
-    does is;
+    does is{};
     int who = 0, spared = -1;  // a core; or who calls
     Letter letter;
     std::string told() const {
@@ -410,24 +410,23 @@
 
   // Every state that so many steps lead to, shorter ways first.
   Found all(int depth, std::uint64_t most) {
-    using Path = std::vector<World::Step>;
-    std::vector<Path> front(1), next;
-    for (; found_.depth < depth && !front.empty() && found_.broken.empty(); ++found_.depth) {
-      for (const Path& path : front) {
-        const auto at = [&](std::optional<World::Step> last) {
+    std::vector<std::uint32_t> front{0}, next;
+    for (; found_.depth < depth && !front.empty(); ++found_.depth) {
+      for (const std::uint32_t end : front) {
+        const Path path = path_to(end);
+        const auto at = [&] {
           auto w = std::make_unique<World>(plot_);
           for (const auto& s : path) w->take(s);
-          if (last) w->take(*last);
-          found_.steps += path.size() + 1;
+          found_.steps += path.size();
           return w;
         };
-        for (const auto& step : at(std::nullopt)->options()) {
-          const auto w = at(step);
+        for (auto& step : at()->options()) {
+          const auto w = at();
+          w->take(step), ++found_.steps;
           if (!seen_.insert(w->print()).second) continue;
-          Path longer = path;
-          longer.push_back(step);
-          if (judged(*w, longer)) return done();
-          next.push_back(std::move(longer));
+          next.push_back(std::uint32_t(trail_.size()));
+          trail_.push_back({end, std::move(step)});
+          if (judged(*w, [&] { return path_to(next.back()); })) return done();
           if (found_.states >= most) return found_.all = false, done();
         }
       }
@@ -441,7 +440,7 @@
     for (int p = 0; p < plays; ++p) {
       std::mt19937 chance(seed + std::uint32_t(p));
       World w(plot_);
-      std::vector<World::Step> path;
+      Path path;
       ++found_.plays;
       for (int d = 0; d < depth; ++d) {
         std::vector<World::Step> options = w.options();
@@ -455,7 +454,7 @@
         w.take(path.back());
         ++found_.steps;
         if (!seen_.insert(w.print()).second) continue;
-        if (judged(w, path, d + 1 == depth)) {
+        if (judged(w, [&] { return path; }, d + 1 == depth)) {
           found_.trace.insert(found_.trace.begin(), "seed " + std::to_string(seed + std::uint32_t(p)));
           return done();
         }
@@ -465,7 +464,15 @@
   }
 
  private:
-  bool judged(World& w, const std::vector<World::Step>& path, bool last = true) {
+  using Path = std::vector<World::Step>;
+  Path path_to(std::uint32_t end) const {
+    Path path;
+    for (; end != 0; end = trail_[end].first) path.push_back(trail_[end].second);
+    std::reverse(path.begin(), path.end());
+    return path;
+  }
+  template <typename F>
+  bool judged(World& w, const F& path, bool last = true) {
     ++found_.states;
     std::string how;
     if (w.broken.empty() && lasting_.insert(w.lasting()).second)
@@ -481,7 +488,7 @@
     if (w.broken.empty() && last && standing_.insert(w.standing()).second) how = "all are up again", w.heal();
     if (w.broken.empty()) return false;
     found_.broken = w.broken;
-    for (const auto& s : path) found_.trace.push_back(s.told());
+    for (const auto& s : path()) found_.trace.push_back(s.told());
     found_.trace.push_back(how);
     return true;
   }
@@ -492,6 +499,7 @@
 
   const Plot& plot_;
   Found found_;
+  std::vector<std::pair<std::uint32_t, World::Step>> trail_{1};  // each step with the one before it
   std::unordered_set<std::uint64_t> seen_, lasting_, standing_;
   std::chrono::steady_clock::time_point begun_ = std::chrono::steady_clock::now();
 };
