--- a/include/robinpin/choice.h
+++ b/include/robinpin/choice.h
@@ -80,7 +80,7 @@
   micros resend_span = 0;  // in any such span a node may make free_resends further postings ...
   double free_resends = 0, extra_share = 0;  // ... and this share of the txns that it took in it; 0: no such rule
   double price_crossing = 0;
-  double rank_crossing = 0;  // by so much, in parts of F(b), a server abroad ranks lower
+  double rank_crossing = 0;  // by so much, in parts of F(b), a server abroad ranks lower, times the txn's own `crossing`
   bool operator==(const Terms&) const = default;
 };
 
@@ -143,6 +143,7 @@
   std::shared_ptr<Spent> spent;  // what `further` counts
   bool full = false;             // the route takes nothing now: declined at once
   micros come_back = 0;          // for clients that are declined; 0: by what answers take
+  double crossing = 1;           // times `rank_crossing`: what a long body costs on its way abroad
 };
 
 struct Said {  // by the client, of its txn
--- a/src/ambit/carry.cpp
+++ b/src/ambit/carry.cpp
@@ -18,6 +18,8 @@
 constexpr micros unready_back = 300'000;      // when to come back to a node that is not ready
 constexpr micros closing_margin = 8'000;      // by which a server's time is shorter than its caller's: its word still gets here
 constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr double usual_bytes = 10'000;        // of a request and its answer, which the module's term of a crossing goes by
+constexpr double most_crossing = 10;          // times that: a server of the own zone that answers in time at all goes first
 constexpr int bodies_part = 4;                // of this process's memory that bodies may take, as a divisor
 constexpr auto closes_idle_after = 2500ms;    // after SIGTERM: callers have been told by then
 
@@ -263,6 +265,8 @@
   ++counts_.taken;
   limits::Taken taken;
   taken.allowed.two_at_once = false;
+  const double bytes = source ? double(m.told().value_or(Source::kept)) : double(m.body().size());
+  taken.allowed.crossing = std::clamp(bytes / usual_bytes, 1.0, most_crossing);
   t->aim_at = clock_.now() + std::max<micros>(0, t->channel->aim - std::max<micros>(0, t->channel->deadline - left));
   t->visit = t->desk->take(fmt::format("{}", ++number_), row, -1, clock_.now(), left, 0, std::move(taken), {});
   co_return co_await run(c, t, gone);
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -347,7 +347,7 @@
     if (terms.tier == 0 && crowded && !s->told_lately(now)) continue;
     const bool again = !txn.postings.empty() && txn.postings.back().server == s;
     const double weight = capacity(*s) * part * (s->line.zone == terms.zone ? 1 : abroad());
-    const double across = s->line.zone == terms.zone ? 0 : terms.rank_crossing;
+    const double across = s->line.zone == terms.zone ? 0 : terms.rank_crossing * txn.allowed.crossing;
     ranked.push_back({s, weight, likely(*s, left) - across - (again ? 1 : 0)});
     if (may_try && (!terms.may_probe || s->erring) && !s->on_trial && unchosen(*s, near.size)) {
       trial = true;
