--- a/src/ambit/hand.cpp
+++ b/src/ambit/hand.cpp
@@ -80,7 +80,7 @@
   if (f.how_far < came::written) {
     r.how = outcome::held;
     r.why = "unreachable";
-    way_.forget();
+    if (!comes || !parcel->source->failed) way_.forget();
   } else if (f.how_far == came::answered) {
     const bool good = f.status >= 200 && f.status < 300;
     if (!f.header("X-Not-Executed").empty() || f.status == 421) {
