A datagram's empty list is copied from nowhere to nowhere, said so

Cause: found by the undefined-behaviour sanitizer, group Explore's neighbours: memcpy of no bytes with a null place, as a record without a server or a listing without records is read. Change: nothing is copied where there is nothing.

--- a/src/rumour/wire.h
+++ b/src/rumour/wire.h
@@ -24,7 +24,7 @@
   explicit Reading(std::string_view bytes) : cereal::InputArchive<Reading, cereal::AllowEmptyClassElision>(this), left_(bytes) {}
   void take(void* to, std::size_t size) {
     if (size > left_.size()) throw cereal::Exception("cut short");
-    std::memcpy(to, left_.data(), size);
+    if (size > 0) std::memcpy(to, left_.data(), size);  // an empty list has no place to copy to
     left_.remove_prefix(size);
   }
   void check(std::uint64_t length) const {
