An upload cut off beside its server counts as an arrival there

Cause: found by reading. Which lines: Gate::never_wrote, the first branch after Hand::take's carry.

Change: such a one counts for its second, and goes back as refused by the server (arrived, known not to have run).

Result: a test of the gate and a line in that of cut-off uploads; groups Gate and Carry pass under the sanitizers.

--- a/src/ambit/carry.cpp
+++ b/src/ambit/carry.cpp
@@ -367,7 +367,7 @@
       break;
     case outcome::refused:
       ++t->arrivals;
-      how = ending::refused;
+      how = source && source->failed ? ending::withdrawn : ending::refused;
       break;
     case outcome::unknown:
       ++t->arrivals;
--- a/src/ambit/hand.cpp
+++ b/src/ambit/hand.cpp
@@ -76,11 +76,18 @@
   Fate& f = r.fate;
   const bool wrote = f.how_far >= came::written && !f.early;
   if (wrote) gate_.ended(now(), beside, f.how_far == came::answered && f.status < 300 ? f.served : 0);
-  else gate_.never_wrote(comes);
-  if (f.how_far < came::written) {
+  const bool begun = comes && parcel->source->let_go;  // its head and a part of its body went out
+  if (!wrote) gate_.never_wrote(now(), comes, begun);
+  if (f.how_far < came::written && begun) {
+    // An arrival, and known not to have run: the server has no whole request.
+    r.how = outcome::refused;
+    f.status = 503;
+    f.headers = {{"X-Not-Executed", "1"}, {"X-Attempt-Id", parcel->id}};
+    if (!parcel->source->failed) way_.forget();
+  } else if (f.how_far < came::written) {
     r.how = outcome::held;
     r.why = "unreachable";
-    if (!comes || !parcel->source->failed) way_.forget();
+    way_.forget();
   } else if (f.how_far == came::answered) {
     const bool good = f.status >= 200 && f.status < 300;
     if (!f.header("X-Not-Executed").empty() || f.status == 421) {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -113,7 +113,15 @@
     sent_.push_back(now);
     if (sent_.size() > most_recent) sent_.pop_front();
   }
-  void never_wrote(bool comes) { --unwritten_, --(comes ? coming_ : at_work_); }
+  // `arrived`: a part of a long one had reached the server, which counts it though it never runs it.
+  void never_wrote(std::int64_t now, bool comes, bool arrived) {
+    --unwritten_, --(comes ? coming_ : at_work_);
+    if (!arrived) return;
+    for (auto* q : {&sent_, &ended_}) {
+      q->push_back(now);
+      if (q->size() > most_recent) q->pop_front();
+    }
+  }
   // Of one that was written. `beside`: at work there when it was sent; `lag`: how long it took, 0 where it got no answer.
   void ended(std::int64_t now, int beside, std::int64_t lag) {
     --at_work_;
--- a/tests/mesh/carry_test.cpp
+++ b/tests/mesh/carry_test.cpp
@@ -527,6 +527,9 @@
       CHECK(!a.retry_after.empty());
       CHECK_EQUAL(1, cut);
       CHECK_EQUAL(0, m.runs());
+      int held = 0;
+      for (const auto& [name, n] : m.carry(0).endings()) held += name.find("held unreachable") != std::string::npos ? int(n) : 0;
+      CHECK_EQUAL(0, held);  // it has reached the server: an arrival
       CHECK(std::chrono::steady_clock::now() - begun < 1s);  // of the two that it may take
     }
 }
--- a/tests/mesh/gate_test.cpp
+++ b/tests/mesh/gate_test.cpp
@@ -87,7 +87,7 @@
   for (int i = 0; i < 5; ++i) g.wrote(1'600 * ms, false);
   CHECK(held::cold == g.verdict(2'500 * ms, "a", b, usual));
   CHECK(held::none == g.verdict(2'700 * ms, "a", b, usual));
-  g.sent(false), g.never_wrote(false);
+  g.sent(false), g.never_wrote(2'700 * ms, false, false);
   for (int i = 0; i < 5; ++i) {
     CHECK(held::none == g.verdict(2'700 * ms, "a", b, usual));
     g.sent(false);
@@ -175,11 +175,23 @@
   CHECK_EQUAL(0, let_in(upload));
   g.comes(-600'000), g.wrote(1, true), g.ended(1, 0, 0), g.wrote(1, true), g.ended(1, 0, 0);
   CHECK_EQUAL(2, let_in(upload));
-  g.comes(-600'000), g.never_wrote(true), g.never_wrote(true);
+  g.comes(-600'000), g.never_wrote(1, true, false), g.never_wrote(1, true, false);
   upload.bytes = 50'000'000;  // longer than any patience: alone it still goes
   CHECK_EQUAL(1, let_in(upload));
 }
 
+TEST(Gate, an_upload_cut_off_on_its_way_counts_for_its_second_at_a_cold_server) {
+  Gate g;
+  g.beat(0, server("a", 1), 60 * second);
+  Gate::Bounds b;
+  b.warmup_per_s = 1, b.most_cold = 29;
+  g.sent(true), g.never_wrote(100 * ms, true, true);
+  CHECK(held::cold == g.verdict(200 * ms, "a", b, usual));
+  CHECK(held::none == g.verdict(1'200 * ms, "a", b, usual));
+  g.sent(true), g.never_wrote(1'200 * ms, true, false);  // nothing of it went out
+  CHECK(held::none == g.verdict(1'201 * ms, "a", b, usual));
+}
+
 TEST(Gate, what_a_starved_node_notes_late_never_brings_a_cold_server_more_than_the_rules_allow) {
   Gate g;
   g.beat(0, server("a", 1), 600 * second);
