Items carry the number of the change that set them; dropped names are let go of

Need: a second wording of one version may not win, and names were never let go of (21,000 routes set and dropped filled the copy for good).

--- a/src/creed/item.h
+++ b/src/creed/item.h
@@ -15,20 +15,22 @@
 struct Item {
   std::string name;
   std::uint64_t version = 0;
-  bool dropped = false;  // a tombstone: kept, so that an older version can't come back
+  bool dropped = false;  // a tombstone: kept for a while, so that an older version can't come back
   std::string text;      // JSON; empty where dropped
+  std::uint64_t at = 0;  // the number of the settled change that set it; 0: of a call, not settled
   bool operator==(const Item&) const = default;
   template <typename Archive>
   void serialize(Archive& a) {
-    a(name, version, dropped, text);
+    a(name, version, dropped, text, at);
   }
 };
 
-// Whether `a` takes `b`'s place. Of one version in two wordings (two operators at once) all copies settle on the same.
-inline bool newer(const Item& a, const Item& b) {
-  if (a.version != b.version) return a.version > b.version;
-  if (a.dropped != b.dropped) return a.dropped;
-  return a.text > b.text;
+// Whether `a` takes `b`'s place. One number holds one wording of an item, and a later number never a lower version, but of a
+// name that was let go of.
+inline bool newer(const Item& a, const Item& b) { return a.at != b.at ? a.at > b.at : a.version > b.version; }
+// Whether two say the same of one name, whenever each was settled.
+inline bool same_wording(const Item& a, const Item& b) {
+  return a.name == b.name && a.version == b.version && a.dropped == b.dropped && a.text == b.text;
 }
 
 // What a copy holds, in so many parts by name: two that differ in a part differ in an item of it.
