The trove lets names go, and takes puts that may wait for their sync

Need: what the core keeps must stay bounded, and not all of it must last before an answer goes out.

Change: Trove::put takes a batch of puts and drops, all or none, synced or in time; bytes() tells what it takes on disk. The trove in memory tells what lasts from what is written, and loses the difference with power. A failed put on disk is latched: LevelDB latches a failed sync by itself, but not a failed append.

--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -87,7 +87,7 @@
   const Own own{next_id_, whole_, cores_};
   return boost::leaf::try_handle_all(
       [&]() -> trove::result<bool> {
-        BOOST_LEAF_CHECK(trove_.put({{std::string(own_name), packed(own)}}));
+        BOOST_LEAF_CHECK(trove_.put({{{std::string(own_name), packed(own)}}, {}}));
         return true;
       },
       [&](const trove::Trouble& t) { return failed_ = t, false; }, [&] { return failed_ = trove::Trouble{"sync", "trove", "unknown"}, false; });
@@ -101,7 +101,7 @@
     if (const creed::Item* held = creed_.find(i.name)) pairs.emplace_back(std::string(item_mark) + i.name, packed(*held));
   return boost::leaf::try_handle_all(
       [&]() -> trove::result<bool> {
-        BOOST_LEAF_CHECK(trove_.put(pairs));
+        BOOST_LEAF_CHECK(trove_.put({pairs, {}}));
         return true;
       },
       [&](const trove::Trouble& t) { return failed_ = t, false; }, [&] { return failed_ = trove::Trouble{"sync", "trove", "unknown"}, false; });
--- a/src/trove/trove.cpp
+++ b/src/trove/trove.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/leaf/error.hpp>
 #include <filesystem>
+#include <optional>
 
 namespace robinpin::trove {
 
@@ -14,12 +15,14 @@
  public:
   Level(std::string folder, std::unique_ptr<leveldb::DB> db) : folder_(std::move(folder)), db_(std::move(db)) {}
 
-  result<void> put(const std::vector<Pair>& pairs) override {
-    leveldb::WriteBatch batch;
-    for (const auto& [k, v] : pairs) batch.Put(k, v);
-    leveldb::WriteOptions synced;
-    synced.sync = true;
-    if (const auto s = db_->Write(synced, &batch); !s.ok()) return boost::leaf::new_error(Trouble{"sync", folder_, s.ToString()});
+  result<void> put(const Batch& batch, lasting how) override {
+    if (failed_) return boost::leaf::new_error(*failed_);
+    leveldb::WriteBatch writes;
+    for (const auto& [k, v] : batch.put) writes.Put(k, v);
+    for (const auto& k : batch.drop) writes.Delete(k);
+    leveldb::WriteOptions options;
+    options.sync = how == lasting::synced;
+    if (const auto s = db_->Write(options, &writes); !s.ok()) return boost::leaf::new_error(*(failed_ = Trouble{"sync", folder_, s.ToString()}));
     return {};
   }
 
@@ -33,9 +36,21 @@
     return found;
   }
 
+  result<std::uint64_t> bytes() override {
+    std::uint64_t sum = 0;
+    std::error_code wrong;
+    for (std::filesystem::directory_iterator it(folder_, wrong), end; !wrong && it != end; it.increment(wrong)) {
+      std::error_code gone;  // since it was listed
+      if (const auto size = it->file_size(gone); !gone) sum += size;
+    }
+    if (wrong) return boost::leaf::new_error(Trouble{"read", folder_, wrong.message()});
+    return sum;
+  }
+
  private:
   std::string folder_;
   std::unique_ptr<leveldb::DB> db_;
+  std::optional<Trouble> failed_;  // final: what is on disk is not known any more
 };
 
 }  // namespace
--- a/tests/mesh/contract_test.cpp
+++ b/tests/mesh/contract_test.cpp
@@ -30,8 +30,8 @@
   const std::string bytes("\0 odd \xff bytes", 13);
   {
     auto t = again();
-    STRCMP_EQUAL("", trouble_of<void>([&] { return t->put({{"a", "1"}, {"b", bytes}}); }).c_str());
-    STRCMP_EQUAL("", trouble_of<void>([&] { return t->put({{"a", "2"}, {std::string("k\0k", 3), std::string(100'000, 'x')}}); }).c_str());
+    STRCMP_EQUAL("", trouble_of<void>([&] { return t->put({{{"a", "1"}, {"b", bytes}}, {}}); }).c_str());
+    STRCMP_EQUAL("", trouble_of<void>([&] { return t->put({{{"a", "2"}, {std::string("k\0k", 3), std::string(100'000, 'x')}}, {}}); }).c_str());
   }
   auto t = again();
   std::vector<trove::Trove::Pair> held;
--- a/tests/mesh/explore.h
+++ b/tests/mesh/explore.h
@@ -61,12 +61,12 @@
   using trove::Memory::Memory;
   int spared = -1;  // a bit each pair; below 0: it does not die
   bool died = false;
-  trove::result<void> put(const std::vector<Pair>& pairs) override {
-    if (spared < 0) return trove::Memory::put(pairs);
-    std::vector<Pair> there;
-    for (std::size_t i = 0; i < pairs.size() && !died; ++i)
-      if (spared >> std::min<std::size_t>(i, 1) & 1) there.push_back(pairs[i]);
-    if (!died) BOOST_LEAF_CHECK(trove::Memory::put(there));
+  trove::result<void> put(const Batch& batch, lasting how = lasting::synced) override {
+    if (spared < 0) return trove::Memory::put(batch, how);
+    Batch there;
+    for (std::size_t i = 0; i < batch.put.size() && !died; ++i)
+      if (spared >> std::min<std::size_t>(i, 1) & 1) there.put.push_back(batch.put[i]);
+    if (!died) BOOST_LEAF_CHECK(trove::Memory::put(there, how));
     died = true;
     return boost::leaf::new_error(trove::Trouble{"sync", "memory", "died"});
   }
@@ -107,6 +107,7 @@
   World(const World& of, int wiped) : plot_(of.plot_), left_(of.left_), acked_(of.acked_), said_(of.said_) {
     for (int i = 0; i < cores; ++i) {
       nodes_[i].disk = std::make_shared<Disk>(i == wiped ? Disk() : *of.nodes_[i].disk);
+      nodes_[i].disk->lose_power();
       nodes_[i].life = of.nodes_[i].life + 1;
       nodes_[i].now = of.nodes_[i].now;
     }
@@ -152,7 +153,7 @@
       case does::tick: return --left_.ticks, tick(s.who, 70'000);
       case does::round: return --left_.rounds, tick(s.who, 550'000);
       case does::kill: return --left_.deaths, kill(s.who);
-      case does::wipe: return --left_.deaths, --left_.wipes, kill(s.who), nodes_[s.who].disk->clear();
+      case does::wipe: return --left_.deaths, --left_.wipes, kill(s.who), void(*nodes_[s.who].disk = Disk());
       case does::start: return start(s.who, false);
     }
   }
@@ -238,7 +239,7 @@
   }
   static std::uint64_t disk_print(const Node& n) {
     std::uint64_t h = 1;
-    for (const auto& [k, v] : *n.disk)
+    for (const auto& [k, v] : n.disk->written)
       if (k != "own") h = mixed(mixed(h, k), v);
       else h = mixed(h, std::string_view(v).substr(8));  // whose identity is drawn
     return h;
@@ -253,7 +254,7 @@
     if (broken.empty()) broken = what;
   }
   bool whole() const {
-    return std::all_of(nodes_.begin(), nodes_.end(), [](const Node& n) { return n.disk && n.disk->contains("own") && n.disk->at("own")[8] != 0; });
+    return std::all_of(nodes_.begin(), nodes_.end(), [](const Node& n) { return n.disk && n.disk->written.contains("own") && n.disk->written.at("own")[8] != 0; });
   }
 
   void start(int i, bool first) {
