The core's state is one register agreed by a majority, its voters have epochs and identities

Cause: an item's greater text won over a confirmed one of the same version; who is core was a list without an epoch, so that a replaced core was never taken in or two majorities came to be; what was accepted reached nodes before it was settled; a thawed core answered by what lay in its sockets; names were never let go of, and beyond 20,000 confirmed and dropped (the six faults met).

--- a/src/consensus/register.h
+++ b/src/consensus/register.h
@@ -12,7 +12,7 @@
 
 namespace robinpin::consensus {
 
-inline constexpr std::size_t longest_value = 64 * 1024;  // bytes
+inline constexpr std::size_t longest_value = 6'000'000;  // bytes; who takes values from outside bounds them further
 inline constexpr std::size_t longest_name = 128, most_registers = 4096, most_voters = 7;
 inline constexpr std::string_view voters_register = "voters";  // the voters themselves
 
--- a/src/creed/adjust.cpp
+++ b/src/creed/adjust.cpp
@@ -52,7 +52,7 @@
 
 class Reader {
  public:
-  Reader(Change& change, const Creed& stands) : change_(change), stands_(stands) {}
+  explicit Reader(Change& change) : change_(change) {}
 
   void read(std::string_view body) {
     if (doc_.Parse<rapidjson::kParseIterativeFlag>(body.data(), body.size()).HasParseError() || !doc_.IsObject() || too_deep(doc_, 0))
@@ -140,9 +140,9 @@
 
   void knows(const Row& r, const Value& service) {
     if (!service.IsString()) return fault(r.pointer, "target: no name");
-    const std::string name = std::string(target_mark) + std::string(text_of(service));
-    if (!called_.contains(name) && !stands_.stands(name))
-      fault(r.pointer, "target: nobody knows the service " + std::string(text_of(service)));
+    std::string name = std::string(target_mark) + std::string(text_of(service));
+    const bool brought = called_.contains(name);
+    change_.needs.push_back({change_.items.size(), std::move(name), r.pointer, brought});  // of the item that is about to be kept
   }
 
   void channel(const Row& r) {
@@ -232,7 +232,6 @@
   }
 
   Change& change_;
-  const Creed& stands_;
   rapidjson::Document doc_;
   std::set<std::string, std::less<>> called_;  // services that the call itself brings
 };
@@ -297,9 +296,18 @@
   return text;
 }
 
-Change read_change(std::string_view body, const Creed& stands) {
+Change read_call(std::string_view body) {
   Change change;
-  Reader(change, stands).read(body);
+  Reader(change).read(body);
+  if (!change.faults.empty()) change.items.clear(), change.needs.clear();
+  return change;
+}
+
+Change read_change(std::string_view body, const Creed& stands) {
+  Change change = read_call(body);
+  for (const Need& n : change.needs)
+    if (!n.brought && !stands.stands(n.service))
+      change.faults.push_back({n.pointer, "target: nobody knows the service " + n.service.substr(target_mark.size())});
   if (!change.faults.empty()) change.items.clear();
   return change;
 }
--- a/src/creed/adjust.h
+++ b/src/creed/adjust.h
@@ -14,11 +14,21 @@
   std::string pointer, reason;  // RFC 6901; why
 };
 
+struct Need {  // a service that an item names
+  std::size_t item = 0;
+  std::string service, pointer;
+  bool brought = false;  // by the call itself
+};
+
 struct Change {
   std::vector<Item> items;
+  std::vector<Need> needs;
   std::vector<Fault> faults;  // all of them; with any, no item may take effect
 };
 
+// Read by itself: whether its services are known is for who holds the state.
+Change read_call(std::string_view body);
+// The same, held against a copy of the state.
 Change read_change(std::string_view body, const Creed& stands);
 std::string faults_as_json(const std::vector<Fault>& faults);
 // All that stands, laid out as in a first call's `apply`.
--- /dev/null
+++ b/src/locus/judge.h
@@ -0,0 +1,61 @@
+// What an operator's call comes to, held against a state: what it changes, or the answer that it gets. Free of I/O.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "../creed/adjust.h"
+#include "../creed/creed.h"
+
+namespace robinpin::locus {
+
+struct Outcome {
+  int status = 503;
+  std::string body;
+};
+
+struct Order {
+  enum class what { read, adjust, begin, finish, size };
+  what is = what::read;
+  std::string text;  // a configuration, a zone, or how many voters
+};
+
+// A state with changes on top of it that are not settled yet.
+class View {
+ public:
+  explicit View(const creed::Creed& stands) : stands_(&stands) {}
+  const creed::Item* find(std::string_view name) const {
+    const auto it = above_.find(name);
+    return it == above_.end() ? stands_->find(name) : &it->second;
+  }
+  void put(const creed::Item& item) { above_[item.name] = item; }
+  // In the order of their names; each once.
+  std::vector<creed::Item> changes() const;
+  std::size_t standing() const;
+  std::size_t bytes() const;
+
+ private:
+  const creed::Creed* stands_;
+  std::map<std::string, creed::Item, std::less<>> above_;
+};
+
+constexpr std::string_view size_name = "k/voters";
+constexpr std::size_t most_change = 4'000'000;  // bytes of one call's items
+
+// Read once; judged as often as the state moves under it.
+class Call {
+ public:
+  explicit Call(Order order);
+  // Puts what it changes on top of `view`; all of it or, where the answer is no 200, nothing.
+  Outcome judge(View& view) const;
+  bool reads() const { return is_ == Order::what::read; }
+
+ private:
+  Order::what is_;
+  std::string zone_;
+  creed::Change change_;
+};
+
+}  // namespace robinpin::locus
--- a/src/locus/keep.h
+++ b/src/locus/keep.h
@@ -1,108 +1,178 @@
-// What a core machine keeps of the control state, and how an operator's call is settled with a majority of the core:
-// merged with what a majority holds, checked against that, synced by so many cores that any loss within the stated
-// tolerance leaves a copy that every later reader meets, and only then acknowledged. Told the time, free of I/O beside
-// the trove.
+// A core machine's part in keeping the control state: one register agreed by a majority of the voters, whose number N is the
+// N-th change of the state. Whoever has accepted N holds the state of N-1, so each majority holds the state; the next change
+// overwrites the register. No log, no leader: any core takes orders and proposes. Told the time, free of I/O beside the trove.
+// See docs/design/control.md.
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "../creed/adjust.h"
+#include "../consensus/proposal.h"
+#include "../consensus/voter.h"
 #include "../creed/creed.h"
 #include "../rumour/rumour.h"
 #include "../trove/trove.h"
+#include "disk.h"
+#include "judge.h"
+#include "seats.h"
+#include "wire.h"
 
 namespace robinpin::locus {
 
-using rumour::Machine;
-using rumour::Outbox;
-
-struct Outcome {
-  int status = 503;
-  std::string body;
-};
-
-struct Order {
-  enum class what { read, adjust, begin, finish };
-  what is = what::read;
-  std::string text;  // a configuration, or a zone
+struct Spans {                       // microseconds
+  std::int64_t contact = 3'000'000;  // a voter unheard by a majority for so long gives its seat to a standby
 };
 
 class Keep {
  public:
-  static constexpr std::int64_t patience = 850'000;  // microseconds: callers go elsewhere after a second of silence
-  static constexpr std::int64_t again = 70'000;      // until what got no answer is sent again, each time twice as long
-  static constexpr std::size_t most_orders = 64;
+  static constexpr std::int64_t patience = 850'000;       // microseconds: callers go elsewhere after a second of silence
+  static constexpr std::int64_t again = 70'000;           // until what got no answer is sent again, each time twice as long
+  static constexpr std::int64_t in_contact = 1'500'000;   // an answered beat says so much of the present
+  static constexpr std::int64_t beat_pause = 500'000;     // between beats; a fifth of it while something is amiss
+  static constexpr std::int64_t doubtful_for = 200'000;   // an accepted change that nobody has settled by then is settled
+  static constexpr std::size_t most_orders = 64, most_peers = 16;
 
   using Done = std::function<void(Outcome)>;
 
-  Keep(Machine self, creed::Creed& creed, rumour::Rumour& rumour, trove::Trove& trove, std::uint64_t chance);
+  Keep(Machine self, creed::Creed& creed, rumour::Rumour& rumour, trove::Trove& trove, std::uint64_t chance, Spans spans = {});
 
-  // What the disk holds is taken on. An empty one counts as a copy only at the system's first start, else it has first to
-  // learn from so many others that it has missed nothing.
-  trove::result<void> begin(bool first_start, const std::vector<Machine>& seeds);
-  // Other seeds: a core that is no copy yet asks those, too, as the ones it began with may be gone.
-  void seeds(const std::vector<Machine>& told);
+  // What the disk holds is taken on. An empty one is a founder's at the system's first start, else it has to be taken in by the
+  // others. Errors: the disk can't be read, or written.
+  trove::result<void> begin(std::int64_t now, bool first_start, const std::vector<Machine>& seeds);
+  // Other machines to ask, where those it knows of don't answer.
+  void seeds(const std::vector<Machine>& told) { seeds_ = told; }
   void order(std::int64_t now, Order order, Done done, Outbox& out);
   void heard(std::int64_t now, Machine from, std::string_view datagram, Outbox& out);
+  // Every 100 ms or so, and when wake() says.
   void tick(std::int64_t now, Outbox& out);
-  // Items that came as rumours: stored, too.
-  void keep(const std::vector<creed::Item>& items);
+  std::int64_t wake() const;
+  // Gives the seat to a standby, if one can take it.
+  void leave(std::int64_t now, Outbox& out);
+  bool may_go() const;  // after leave(): nobody counts on this copy, or nobody can take its seat
 
-  bool whole() const { return whole_; }
-  const std::vector<Machine>& cores() const { return cores_; }
-  std::size_t majority() const { return cores_.size() / 2 + 1; }
-  std::size_t orders() const { return work_.size(); }
+  // A majority of the voters has answered lately, and none of them knows of a later change.
+  bool fresh(std::int64_t now) const;
+  const consensus::Voters& voters() const { return voter_->memory().voters; }
+  bool votes() const { return voter_->standing() == consensus::verdict::yes && voters().seat(store()); }
+  const std::string& store() const { return voter_->memory().store; }
+  std::uint64_t number() const { return holds_.number; }
+  std::size_t orders() const { return orders_.size(); }
   // The disk has failed: nothing may be acknowledged any more.
   const std::optional<trove::Trouble>& failed() const { return failed_; }
 
+  struct Peer {  // another core machine, as its last word and its last answer told
+    Beat told;
+    std::int64_t heard = 0;
+    std::int64_t contact = -1;  // when the beat was sent that it answered last
+    std::uint64_t number = 0;   // the highest that this answer told, settled or not
+    bool votes = false;
+  };
+  const std::map<Machine, Peer>& peers() const { return peers_; }
+
  private:
-  struct Asked {  // of another core, in one round
-    std::map<std::uint32_t, bool> pieces;
-    std::uint32_t of = 0;
-    bool whole = false, done = false;
+  struct Waiting {
+    Call call;
+    Done done;
+    std::int64_t until;
+    bool tried = false;  // judged by the attempt under way
+    Outcome verdict;
   };
-  struct Work {
-    Order order;
-    Done done;  // none: this core learns
-    std::int64_t until = 0, next = 0, pause = again;
-    std::uint32_t round = 0;
-    bool storing = false;
-    std::map<Machine, Asked> asked;
-    std::vector<std::vector<creed::Item>> pieces;  // to be stored
-    std::map<std::uint64_t, std::pair<std::size_t, Machine>> stores;  // by id: which piece, by whom
-    std::map<Machine, std::set<std::size_t>> lacking;
-    std::vector<creed::Item> items;
+  struct Attempt {  // one proposal on its way
+    consensus::Proposal proposal;
+    bool writes = false;
+    std::map<std::string, std::pair<Machine, std::string>> unanswered;  // by store: where, and what it was asked
+    std::int64_t begun = 0, next = 0, pause = again;
+    std::uint64_t base = 0;  // the number that its orders were judged on
+    consensus::Ballot ballot;
+    bool answers(const consensus::Ballot& b) const { return b == ballot; }
   };
-  using Place = std::map<std::uint64_t, Work>::iterator;
-
-  void send_fetches(Work& w, std::uint64_t id, Outbox& out);
-  void send_stores(Work& w, Outbox& out);
-  void merged(std::int64_t now, Place at, Outbox& out);
-  void settle(std::int64_t now, Place at, Outbox& out);
-  bool enough_merged(const Work& w) const;
-  bool enough_stored(const Work& w) const;
-  void end(Place at, Outcome outcome);
-  bool put(const std::vector<creed::Item>& items);
-  bool put_own();
-  void learn(std::int64_t now, Outbox& out);
+  struct Chase {  // catching up
+    std::uint64_t id = 0;
+    Machine from = 0;
+    Cursor after;
+    bool snapshot = false;  // taken whole, in place of what is held
+    std::vector<creed::Item> items;  // put in at once when the last is there: the state is always one number's
+    std::uint64_t floor = 0;         // of the other
+    std::uint64_t least = 0;         // a number that it must have reached
+    std::int64_t next = 0, pause = again;
+  };
+
+  void expire(std::int64_t now);
+  void answer(std::deque<Waiting>::iterator at, Outcome outcome);
+  void work(std::int64_t now, Outbox& out);
+  void propose(std::int64_t now, Outbox& out);
+  consensus::Ballot ballot();
+  void take_step(std::int64_t now, std::optional<Attempt>& attempt, consensus::Step step, Outbox& out);
+  void ended(std::int64_t now, const consensus::Outcome& o, bool wrote, std::uint64_t base, Outbox& out);
+  void settled(std::int64_t now, const consensus::Value& value, Outbox& out);
+  void seats_ended(std::int64_t now, const consensus::Outcome& o, Outbox& out);
+  void mind_seats(std::int64_t now, Outbox& out);
+  void next_job(std::int64_t now, Outbox& out);
+
+  void heard_ask(std::int64_t now, Machine from, const Asking& a, Outbox& out);
+  void heard_answer(std::int64_t now, Machine from, Answering a, Outbox& out);
+  void heard_beat(std::int64_t now, Machine from, Beat b, Outbox& out);
+  void heard_fetch(Machine from, const Fetch& f, Outbox& out) const;
+  void heard_fetched(std::int64_t now, Machine from, const Fetched& f, Outbox& out);
+
+  // Another core holds this as settled.
+  void learn(std::int64_t now, const Stands& other, Outbox& out);
+  bool apply(const consensus::Value& settled, Outbox& out);
+  void chase(std::int64_t now, Outbox& out);
+  void restart_chase(bool snapshot);
+  void caught_up(const Stands& holds, std::uint64_t floor, Outbox& out);
+  void beat(std::int64_t now, Outbox& out, bool news);  // news: not to be answered
+  Beat own_beat(std::int64_t now, Machine to) const;
+  Own own() const;
+  bool put(trove::Trove::Batch batch, trove::Trove::lasting how);
+  bool put(const consensus::Change& change, trove::Trove::lasting how);
+  void told(const consensus::Voters& voters);
+  void cores_changed();
+  void become(std::string store);
+  std::uint64_t accepted() const;
+  std::set<std::string> gone(std::int64_t now) const;
+  std::vector<Standby> standbys(std::int64_t now) const;
+  std::set<Machine> others(std::int64_t now) const;
+  bool ready() const { return voters().version > 0; }
+  std::size_t wanted_size() const;
 
   const Machine self_;
   creed::Creed& creed_;
   rumour::Rumour& rumour_;
   trove::Trove& trove_;
-  std::vector<Machine> cores_;
-  bool whole_ = false;
-  std::uint64_t next_id_;
-  std::map<std::uint64_t, Work> work_;
+  const Spans spans_;
+  std::mt19937_64 chance_;
+  const std::string proposer_;  // this life's
+  std::vector<Machine> seeds_;
+  std::optional<consensus::Voter> voter_;
+  Stands holds_;
+  consensus::Value last_;  // what brought `holds_`, where it is known
+  std::uint64_t known_ = 0;  // the highest number heard of as settled
+  std::uint64_t round_ = 0, tries_ = 0, attempts_ = 0;
+  std::deque<Waiting> orders_;
+  std::optional<Attempt> attempt_, seats_;
+  std::optional<consensus::Succession> succession_;
+  consensus::Want job_;  // of it, the one under way
+  std::int64_t succession_until_ = 0, next_seats_ = 0, changing_since_ = 0;
+  std::optional<Chase> chase_;
+  std::int64_t not_before_ = 0;      // the next try
+  std::int64_t doubtful_since_ = 0;  // 0: nothing accepted waits to be settled
+  std::map<Machine, Peer> peers_;
+  std::map<std::string, std::int64_t> heard_;  // voters' stores, when
+  std::deque<std::pair<std::uint64_t, std::int64_t>> beats_;  // echo, when sent; a few
+  std::int64_t begun_ = 0, next_beat_ = 0;
+  std::deque<std::pair<std::string, std::string>> said_;  // asks that were answered lately, and the answers: one comes again
+  Parcels parcels_;
+  bool leaving_ = false, can_hand_over_ = false;
   std::optional<trove::Trouble> failed_;
-  bool learning_ = false;
 };
 
 }  // namespace robinpin::locus
--- a/src/mesh/role.cpp
+++ b/src/mesh/role.cpp
@@ -70,7 +70,10 @@
 }
 
 void Role::send(const rumour::Outbox& out) {
-  for (const auto& d : out) span_->send(d.to, d.bytes);
+  const rumour::Machine self = span::machine_of(settings.ip);
+  for (const auto& d : out)
+    if (d.to == self) asio::post(io_, [this, self, bytes = d.bytes] { heard(self, bytes); });  // once the others' are on their way
+    else span_->send(d.to, d.bytes);
 }
 
 void Role::leave(int code) {
--- a/src/node/fleet.cpp
+++ b/src/node/fleet.cpp
@@ -16,6 +16,7 @@
 constexpr auto order_limit = 4s;     // of an operator's call, as long as a caller is waited for
 constexpr auto beat_limit = 1s;      // for a beat's answer, at the most
 constexpr std::size_t most_callers = 64;
+constexpr std::size_t longest_text = 64 * 1024;  // bytes of a register, as told to operators
 
 std::string drawn() {
   std::random_device draw;
@@ -370,7 +371,7 @@
 
 awaitable<Fleet::Told> Fleet::set(const value& o, steady::time_point until) {
   Want w{wish::write, register_of(o, true), peer::count(o, "version"), read::text(o, "text", ""), read::text(o, "by", "")};
-  if (w.text.size() > longest_value) co_return why(400, fmt::format("the value is over {} bytes", longest_value));
+  if (w.text.size() > longest_text) co_return why(400, fmt::format("the value is over {} bytes", longest_text));
   const bool again = !w.by.empty() && read::flag(o, "again");
   if (w.by.empty()) w.by = agreement_.fresh_mark();
   const Outcome end = co_await agreement_.settle(w, until, again);
--- a/src/rumour/rumour.cpp
+++ b/src/rumour/rumour.cpp
@@ -207,10 +207,9 @@
     News on;
     if (now >= flood_from_ + flood_span) flood_from_ = now, flood_count_ = 0;
     for (const creed::Item& i : news->items)
-      if (creed_.take(i)) {
+      if (!self_.core && creed_.take(i)) {  // a core goes by what it has settled itself
         on.items.push_back(i);
         if (++flood_count_ > flood) flood_until_ = now + flood_span;
-        if (self_.core) fresh_.push_back(i);
       }
     for (const Record& r : news->records) {
       if (r.machine == self_.machine) {
@@ -228,6 +227,8 @@
         if (self_.core && !r.lapsed) leases_[r.machine] = now;
       }
     }
+    // What it lacked is coming in: whether that was all is asked at once, however seldom it asks by now.
+    if (!self_.core && !caught_up_ && !on.items.empty()) eager_ = 0, next_ = std::min(next_, now + eager);
     if (!on.items.empty() || !on.records.empty()) pass_on(std::move(on), from, out);
     return;
   }
