A core tells what its stopped store holds, who votes, and sets aside a disk that it can't believe

Change: robinpin store, events 323 and 324, the store renamed and the machine taken in as one with a lost disk.

--- a/src/chronicle/chronicle.h
+++ b/src/chronicle/chronicle.h
@@ -31,9 +31,11 @@
   order_unsettled = 303, // no majority in time
   zone_emptied = 310,
   zone_back = 311,
-  copy_whole = 320,     // this core counts as a copy
-  copy_lacks = 321,     // it does not: its disk is new
+  copy_whole = 320,     // this core is in contact with a majority and holds all that it knows of
+  copy_lacks = 321,     // it is not, or does not
   disk_failed = 322,
+  voters = 323,         // who votes has changed: the epoch, and who
+  disk_set_aside = 324, // what the disk holds can't be believed: this core begins as an empty one
 };
 
 struct Event {
--- a/src/mesh/command.cpp
+++ b/src/mesh/command.cpp
@@ -3,10 +3,14 @@
 #include <fmt/format.h>
 
 #include <argagg/argagg.hpp>
+#include <array>
 #include <boost/leaf/handle_errors.hpp>
+#include <sstream>
 #include <string_view>
 
+#include "../locus/disk.h"
 #include "../log/log.h"
+#include "../span/span.h"
 #include "role.h"
 
 namespace robinpin::mesh {
@@ -27,11 +31,86 @@
       },
       [] { return faulty; });
 }
+
+std::string machine_text(const std::string& seat_address) {
+  try {
+    return span::text_of(rumour::Machine(std::stoul(seat_address)));
+  } catch (const std::exception&) {
+    return seat_address;
+  }
+}
+
+// What a core's store holds while its process is stopped.
+int told_of(const trove::Look& look, bool items) {
+  for (const auto& d : look.damage) fmt::print("damaged: {}\n", d);
+  return boost::leaf::try_handle_all(
+      [&]() -> trove::result<int> {
+        BOOST_LEAF_AUTO(kept, locus::kept(look.pairs));
+        if (!kept.own) {
+          fmt::print("empty: {} bytes\n", look.bytes);
+          return look.damage.empty() ? good : faulty;
+        }
+        const locus::Own& own = *kept.own;
+        std::size_t dropped = 0;
+        for (const auto& i : kept.items) dropped += i.dropped;
+        fmt::print("store {} of {}, counter {}, {} bytes\n", own.store, span::text_of(own.machine), own.counter, look.bytes);
+        fmt::print("number {} by {}, floor {}; {} items, {} dropped\n", own.holds.number, own.holds.by.empty() ? "nobody" : own.holds.by, own.floor,
+                   kept.items.size() - dropped, dropped);
+        fmt::print("epoch {}{}\n", own.voters.version, own.voters.changing() ? ", a change of voters is under way" : "");
+        for (const auto* seats : {&own.voters.now, &own.voters.next})
+          for (const auto& s : *seats) fmt::print("  {} {} {}\n", seats == &own.voters.now ? "voter" : "next", machine_text(s.address), s.store);
+        for (const auto& [name, slot] : kept.slots)
+          fmt::print("register {}: promised {}, accepted {} in {} by {}\n", name, slot.promised.round, slot.value.version, slot.accepted.round, slot.value.by);
+        for (const auto& i : kept.items)
+          if (items) fmt::print("{} {:08x} at {}{} {}\n", i.name, i.version, i.at, i.dropped ? " dropped" : "", i.text);
+        return look.damage.empty() ? good : faulty;
+      },
+      [](const trove::Trouble& t) {
+        fmt::print("damaged: {} {}: {}\n", t.step, t.peer, t.why);
+        return faulty;
+      },
+      [] { return faulty; });
+}
+
+int store(int argc, char** argv) {
+  argagg::parser options{{
+      {"help", {"-h", "--help"}, "tell the options", 0},
+      {"items", {"--items"}, "list every item, too", 0},
+  }};
+  try {
+    const auto told = options.parse(argc - 1, argv + 1);
+    if (told["help"] || told.count() != 1) {
+      std::ostringstream help;
+      help << options;
+      fmt::print("robinpin store FOLDER: what a stopped core's disk holds; nothing in it is changed\n\n{}\nExit codes: 0 good; 1 damaged, in use or none; 2 misused.\n",
+                 help.str());
+      return told["help"] ? good : misused;
+    }
+    return boost::leaf::try_handle_all(
+        [&]() -> trove::result<int> {
+          BOOST_LEAF_AUTO(look, trove::look(told.pos[0]));
+          return told_of(look, bool(told["items"]));
+        },
+        [](const trove::Trouble& t) {
+          fmt::print(stderr, "robinpin store: {} {}: {}\n", t.step, t.peer, t.why);
+          return faulty;
+        },
+        [] { return faulty; });
+  } catch (const std::exception& wrong) {
+    fmt::print(stderr, "robinpin store: {}\n", wrong.what());
+    return misused;
+  }
+}
 }  // namespace
 
-bool is_role(int argc, char** argv) { return argc > 1 && (std::string_view(argv[1]) == "ambit" || std::string_view(argv[1]) == "locus"); }
+bool is_role(int argc, char** argv) {
+  if (argc < 2) return false;
+  const std::string_view word = argv[1];
+  return word == "ambit" || word == "locus" || word == "store";
+}
 
 int run(int argc, char** argv) {
+  if (std::string_view(argv[1]) == "store") return store(argc, argv);
   const bool core = std::string_view(argv[1]) == "locus";
   argagg::parser options{{
       {"help", {"-h", "--help"}, "tell the options", 0},
--- a/src/mesh/locus.cpp
+++ b/src/mesh/locus.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
+#include <filesystem>
 
 #include "../locus/keep.h"
 #include "../log/log.h"
@@ -25,13 +26,14 @@
 
 class Locus : public Role {
  public:
-  Locus(ground::Settings s, std::string path, std::unique_ptr<trove::Trove> trove)
+  Locus(ground::Settings s, std::string path, std::unique_ptr<trove::Trove> trove, std::string aside)
       : Role(std::move(s), std::move(path), true),
         sockets_(std::max(32, settings.file_limit - 264)),
         trove_(std::move(trove)),
         keep_(span::machine_of(settings.ip), creed_, rumour_, *trove_, (std::uint64_t(chance_of(settings)) << 32) | chance_of(settings), {settings.contact}),
         control_(io_, sockets_, call_limits),
-        wakes_(io_) {
+        wakes_(io_),
+        aside_(std::move(aside)) {
     using What = locus::Order::what;
     control_.on<port::Adjust>([this](port::Adjust c) { return order({What::adjust, std::move(c.body)}); });
     control_.on<port::Read>([this](port::Read) { return order({What::read, {}}); });
@@ -46,6 +48,7 @@
     BOOST_LEAF_CHECK(keep_.begin(now(), settings.first_start, machines_of(settings.seeds)));
     control_.listen(node::endpoint_of(settings.ports.at("control")));
     chronicle_.append(event::began, now(), fmt::format("role=locus node={} items={}", settings.node, creed_.items().size()));
+    if (!aside_.empty()) chronicle_.append(event::disk_set_aside, now(), aside_);
     chronicle_.append(event::copy_lacks, now());
     control_.run();
     begin();
@@ -120,6 +123,12 @@
       was_fresh_ = is;
       chronicle_.append(is ? event::copy_whole : event::copy_lacks, now());
     }
+    if (keep_.voters().version != epoch_) {
+      epoch_ = keep_.voters().version;
+      std::string who;
+      for (const auto& s : keep_.voters().all()) who += fmt::format(" {}", span::text_of(rumour::Machine(std::stoul(s.address))));
+      chronicle_.append(event::voters, now(), fmt::format("epoch={} changing={} who={}", epoch_, keep_.voters().changing(), who));
+    }
     if (leaving_ && keep_.may_go()) io_.stop();
     arm();
     changed();
@@ -212,17 +221,41 @@
   port::Port control_;
   asio::steady_timer wakes_, last_end_{io_};
   std::int64_t armed_ = 0;
+  std::uint64_t epoch_ = 0;
+  const std::string aside_;  // why, where the disk's store was
   bool was_fresh_ = false, failed_ = false, leaving_ = false;
 };
 
+// A store that can't be read for what it was is set aside: its machine is one with a lost disk, which the others know how to
+// take in. What was never told from a good one is found by the voters' counters (locus/keep).
+trove::result<std::unique_ptr<trove::Trove>> opened(const std::string& folder, std::string& aside) {
+  const auto usable = [&]() -> trove::result<std::unique_ptr<trove::Trove>> {
+    BOOST_LEAF_AUTO(trove, trove::open(folder));
+    BOOST_LEAF_AUTO(held, trove->all());
+    BOOST_LEAF_CHECK(locus::kept(held));
+    return trove;
+  };
+  return boost::leaf::try_handle_some(usable, [&](const trove::Trouble& t) -> trove::result<std::unique_ptr<trove::Trove>> {
+    std::error_code wrong;
+    if (t.why.find("in use") != std::string::npos || !std::filesystem::exists(folder, wrong)) return boost::leaf::new_error(t);
+    aside = t.step + " " + t.peer + ": " + t.why;
+    std::filesystem::remove_all(folder + ".aside", wrong);  // one is kept, for whoever looks into it
+    std::filesystem::rename(folder, folder + ".aside", wrong);
+    if (wrong) return boost::leaf::new_error(t);
+    return trove::open(folder);
+  });
+}
+
 }  // namespace
 
 int locus(const Start& start) {
   std::signal(SIGPIPE, SIG_IGN);
   return run_role([&]() -> trove::result<int> {
     BOOST_LEAF_AUTO(settings, ground::load(start.settings, true));
-    BOOST_LEAF_AUTO(trove, trove::open(settings.data_dir + "/trove"));
-    Locus role(std::move(settings), start.settings, std::move(trove));
+    std::string aside;
+    BOOST_LEAF_AUTO(trove, opened(settings.data_dir + "/trove", aside));
+    if (!aside.empty()) settings.first_start = false;
+    Locus role(std::move(settings), start.settings, std::move(trove), std::move(aside));
     return role.run();
   });
 }
--- a/src/mesh/role.cpp
+++ b/src/mesh/role.cpp
@@ -19,7 +19,7 @@
 log::level level_of(chronicle::event e) {
   using chronicle::event;
   return e == event::disk_failed || e == event::settings_faulty ? log::level::error
-         : e == event::leapt || e == event::order_unsettled || e == event::copy_lacks ? log::level::warning
+         : e == event::leapt || e == event::order_unsettled || e == event::copy_lacks || e == event::disk_set_aside ? log::level::warning
                                                                                       : log::level::info;
 }
 
