Control calls: bounds on time and number, phrases, and none waits behind a refused one

Need: a call on `control` had no bound of its own, and statuses that operators now get (409, 412, 422, 507) had no phrase. Met before as "pipelined calls behind one that waits get no answer": shown otherwise, in a core of three on four of four and eight of eight pipelined calls were answered in order, also with the text cut in two; in a core without a majority each took its 0.85 s, the fourth of four had its answer after 3.6 s, which looks like none.

Change: 3 s for an answer, then the connection ends without one; 128 calls at once on a port, one more gets 503 unheard; what stands behind a call that got 503 is not begun, its connection ends; a request that can't be read is seen out, so that a reset does not take its 413, 431 or 400 with it.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <optional>
@@ -184,6 +185,13 @@
   co_return reading::longer;
 }
 
+awaitable<void> Connection::see_out(steady::duration most) {
+  limit(steady::now() + most);
+  asio::error_code error;
+  socket.shutdown(tcp::socket::shutdown_send, error);
+  for (std::array<char, 4096> dropped; !error;) co_await receive(dropped.data(), dropped.size(), error);
+}
+
 tcp::endpoint endpoint_of(const std::string& text) {
   const auto colon = text.rfind(':');
   const auto port = colon == std::string::npos ? -1 : whole_number(std::string_view(text).substr(colon + 1));
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -81,6 +81,10 @@
   // Reads once, what comes next of a message that has begun.
   awaitable<reading> more(asio::error_code& error);
 
+  // Tells the peer that no more comes, and drops what it still sends until it ends or the time is over: a connection closed
+  // over unread bytes is reset, and what was written last goes with it.
+  awaitable<void> see_out(steady::duration most);
+
   // When the last bytes that were read reached the machine, where the kernel tells; else when they were read.
   steady::time_point arrived() const { return arrived_; }
 
--- a/src/port/port.cpp
+++ b/src/port/port.cpp
@@ -8,21 +8,29 @@
 
 namespace {
 using namespace std::chrono_literals;
-constexpr std::chrono::milliseconds head_limit = 3s, idle_limit = 30s, write_limit = 3s, breath = 20ms;
+constexpr std::chrono::milliseconds head_limit = 3s, idle_limit = 30s, write_limit = 3s, breath = 20ms, out_limit = 1s;
 }  // namespace
 
 std::string_view phrase(int status) {
   switch (status) {
     case 200: return "OK";
+    case 307: return "Temporary Redirect";
     case 400: return "Bad Request";
     case 404: return "Not Found";
     case 405: return "Method Not Allowed";
     case 408: return "Request Timeout";
+    case 409: return "Conflict";
+    case 412: return "Precondition Failed";
     case 413: return "Content Too Large";
+    case 421: return "Misdirected Request";
+    case 422: return "Unprocessable Content";
+    case 429: return "Too Many Requests";
     case 431: return "Request Header Fields Too Large";
+    case 500: return "Internal Server Error";
     case 502: return "Bad Gateway";
     case 503: return "Service Unavailable";
     case 504: return "Gateway Timeout";
+    case 507: return "Insufficient Storage";
     default: return "Answer";
   }
 }
@@ -60,19 +68,28 @@
     if (error || got == codec::reading::unfinished) co_return;
     Reply r;
     const bool read = got == codec::reading::complete;
-    if (read) {
-      c->no_limit();
+    if (read && waiting_ >= bounds_.most_waiting) {
+      r = {503, R"({"fault":"too many calls wait"})", {}};
+    } else if (read) {
+      c->limit(node::steady::now() + bounds_.wait);
+      ++waiting_;
       r = co_await reply(c->in);
+      --waiting_;
+      if (!c->open()) co_return;
     } else {
       r.status = got == codec::reading::body_too_long ? 413 : got == codec::reading::head_too_long ? 431 : 400;
       r.body = R"({"fault":"the request can't be read"})";
     }
-    const bool stays = read && c->in.keep_alive();
+    // What stands behind a call that nobody here can settle now would wait as long, one after the other: it goes elsewhere.
+    const bool behind = read && r.status == 503 && (c->in.behind() || !c->still());
+    const bool stays = read && !behind && c->in.keep_alive();
     c->limit(node::steady::now() + write_limit);
     std::size_t written = 0;
     const std::string head = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n{}{}\r\n", r.status,
                                          phrase(r.status), r.body.size(), r.headers, stays ? "" : "Connection: close\r\n");
-    if (co_await c->write(head, r.body, written) || !stays) co_return;
+    error = co_await c->write(head, r.body, written);
+    if (!error && (!read || behind)) co_await c->see_out(out_limit);
+    if (error || !stays) co_return;
     if (const auto next = c->in.next(); next != codec::reading::unfinished && next != codec::reading::complete) co_return;
   }
 }
--- a/src/port/port.h
+++ b/src/port/port.h
@@ -26,6 +26,12 @@
   std::string headers;  // further ones, each with its line end
 };
 
+// Of the calls at work on one port.
+struct Bounds {
+  std::size_t most_waiting = 128;          // one more is answered 503 unheard
+  std::chrono::milliseconds wait{3'000};  // for an answer; then the connection ends without one
+};
+
 std::string_view phrase(int status);
 
 // Takes connections in and gives each to `serve`. Out of descriptors it waits a little instead of spinning.
@@ -34,7 +40,8 @@
 
 class Port {
  public:
-  Port(asio::io_context& io, Sockets& sockets, codec::Limits limits) : io_(io), sockets_(sockets), limits_(limits), acceptor_(io) {}
+  Port(asio::io_context& io, Sockets& sockets, codec::Limits limits, Bounds bounds = {})
+      : io_(io), sockets_(sockets), limits_(limits), bounds_(bounds), acceptor_(io) {}
 
   // `Call` has `method`, `path` (what follows it is the argument) and `read(argument, body)`, which gives nothing for a
   // text that is no such call; `Call::Answer` turns into a Reply.
@@ -61,6 +68,8 @@
   asio::io_context& io_;
   Sockets& sockets_;
   codec::Limits limits_;
+  const Bounds bounds_;
+  std::size_t waiting_ = 0;
   tcp::acceptor acceptor_;
   std::vector<Entry> calls_;
 };
