An order for a zone that nobody knows is answered 404

Cause: `Evacuation.Begin/nozone` was acknowledged, so a mistyped zone looked emptied.

Change: the settings' `zones` are read and checked (/zones, a map of zones to regions) and taken on while running. A Begin or Finish for a name that is none of them gets 404 with a fault text, unless the state has ever had it: what stands can be ended whatever the settings say by now, and what was taken is acknowledged again. Without a map, or with an empty one, no name is refused, as before; the own zone is always known.

--- a/src/ground/ground.cpp
+++ b/src/ground/ground.cpp
@@ -86,6 +86,13 @@
     if (!seeds || !seeds->IsArray() || seeds->Empty()) r.fault("/seed_nodes", "names nobody");
     else
       for (rapidjson::SizeType i = 0; i < seeds->Size(); ++i) s.seeds.push_back(r.address(fmt::format("/seed_nodes/{}", i), true));
+    if (const Value* zones = r.at("/zones"); zones && !zones->IsObject()) r.fault("/zones", "no map of zones to regions");
+    else if (zones)
+      for (const auto& [zone, region] : zones->GetObject()) {
+        const std::string name(zone.GetString(), zone.GetStringLength());
+        if (name.empty() || !region.IsString()) r.fault("/zones/" + name, "no zone with its region");
+        else s.zones[name] = std::string(region.GetString(), region.GetStringLength());
+      }
     const Value* first = r.at("/first_start");
     if (first && !first->IsBool()) r.fault("/first_start", "neither true nor false");
     s.first_start = first && first->IsBool() && first->GetBool();
--- a/src/ground/ground.h
+++ b/src/ground/ground.h
@@ -16,6 +16,7 @@
   std::map<std::string, std::string> ports;  // outbound, inbound, readiness, control
   std::uint16_t inner_port = 0;
   std::vector<std::string> seeds;
+  std::map<std::string, std::string> zones;  // each with its region; none: not told
   bool first_start = false;
   std::int64_t beat_period = 1'500'000;  // microseconds, as are those below
   std::int64_t contact = 3'000'000, drain = 2'500'000, grace = 6'000'000, evacuate = 5'000'000;
@@ -26,6 +27,8 @@
   double link_mbps = 0;  // 0: not told
   int memory_mb = 256, file_limit = 1024;
   bool operator==(const Settings&) const = default;
+  // False only where zones are told and it is none of them.
+  bool may_be_zone(const std::string& name) const { return zones.empty() || name == zone || zones.contains(name); }
 };
 
 // `core`: of a core machine, which has a disk and serves operators. Errors: every fault of the text, a line each with its
--- a/src/mesh/locus.cpp
+++ b/src/mesh/locus.cpp
@@ -34,8 +34,8 @@
     using What = locus::Order::what;
     control_.on<port::Adjust>([this](port::Adjust c) { return order({What::adjust, std::move(c.body)}); });
     control_.on<port::Read>([this](port::Read) { return order({What::read, {}}); });
-    control_.on<port::Evacuation<true>>([this](port::Evacuation<true> c) { return order({What::begin, std::move(c.zone)}); });
-    control_.on<port::Evacuation<false>>([this](port::Evacuation<false> c) { return order({What::finish, std::move(c.zone)}); });
+    control_.on<port::Evacuation<true>>([this](port::Evacuation<true> c) { return for_zone(What::begin, std::move(c.zone)); });
+    control_.on<port::Evacuation<false>>([this](port::Evacuation<false> c) { return for_zone(What::finish, std::move(c.zone)); });
     control_.on<port::Status>([this](port::Status) -> awaitable<port::Reply> { co_return port::Reply{200, status(), {}}; });
     control_.on<port::Readiness>([this](port::Readiness) -> awaitable<port::Done> { co_return port::Done{keep_.whole(), "not a whole copy"}; });
   }
@@ -58,6 +58,15 @@
   }
 
  private:
+  // A name that nobody knows may be mistyped: it is told so. One that the state has is known, too, whatever the settings say
+  // by now: what stands can be taken back, and what was taken is acknowledged again.
+  awaitable<port::Reply> for_zone(locus::Order::what is, std::string zone) {
+    if (!settings.may_be_zone(zone) && !creed_.find(std::string(creed::evacuation_mark) + zone))
+      co_return port::Reply{404, R"({"fault":"the settings know no such zone"})", {}};
+    locus::Order asked{is, std::move(zone)};
+    co_return co_await order(std::move(asked));
+  }
+
   awaitable<port::Reply> order(locus::Order what) {
     struct Wait {
       explicit Wait(asio::io_context& io) : news(io, std::chrono::steady_clock::time_point::max()) {}
--- a/tests/mesh/creed_test.cpp
+++ b/tests/mesh/creed_test.cpp
@@ -162,6 +162,17 @@
 }
 }  // namespace
 
+TEST(Ground, zones_are_a_map_to_regions_and_where_none_is_told_any_name_may_be_one) {
+  const auto with = [](const std::string& zones) { return settings_text({{R"("zone":"z",)", R"("zone":"z","zones":)" + zones + ","}}); };
+  const ground::Settings none = ground::read(settings_text(), false).value(), told = ground::read(with(R"({"z":"r","y":"s"})"), false).value();
+  CHECK(none.may_be_zone("any") && ground::read(with("{}"), false).value().may_be_zone("any"));
+  CHECK(told.may_be_zone("z") && told.may_be_zone("y") && !told.may_be_zone("x") && !told.may_be_zone(""));
+  CHECK(ground::read(with(R"({"y":"s"})"), false).value().may_be_zone("z"));  // its own, always
+  CHECK(told != none && ground::needs_start(none, told).empty());
+  for (const auto& [zones, fault] : std::vector<std::pair<std::string, std::string>>{{"[\"z\"]", "/zones: no map"}, {R"({"y":1})", "/zones/y: no zone"}, {R"({"":"r"})", "/zones/: no zone"}})
+    CHECK_TEXT(trouble_of<ground::Settings>([&] { return ground::read(with(zones), false); }).find(fault) != std::string::npos, zones.c_str());
+}
+
 TEST(Ground, what_others_know_a_process_by_and_what_is_made_once_needs_a_new_start_and_nothing_else_does) {
   const ground::Settings old = ground::read(settings_text(), false).value();
   for (const auto& [from, to, name] : std::vector<std::array<std::string, 3>>{
--- a/tests/mesh/port_test.cpp
+++ b/tests/mesh/port_test.cpp
@@ -2,6 +2,15 @@
 #include <asio.hpp>
 #include <fmt/format.h>
 
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "../../src/mesh/role.h"
 #include "../../src/port/calls.h"
 #include "help.h"
 
@@ -81,6 +90,47 @@
   bool ended = false;
 };
 
+// A core of one, in a process of its own.
+struct Core {
+  Core() {
+    char name[] = "/tmp/robinpin-core-XXXXXX";
+    folder = ::mkdtemp(name);
+    settings("{}");
+    if ((child = ::fork()) != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::_exit(mesh::locus({folder + "/local.json"}));
+  }
+  ~Core() {
+    ::kill(child, SIGKILL);
+    ::waitpid(child, nullptr, 0);
+    std::filesystem::remove_all(folder);
+  }
+  void settings(const std::string& zones) const {
+    std::ofstream(folder + "/local.json") << fmt::format(R"({{"ip":"127.0.24.9","zone":"east","zones":{},"ports":{{"control":"127.0.24.9:24120"}},"inner_ports":[24130,24131],
+      "seed_nodes":["127.0.24.9:24120"],"first_start":true,"data_dir":"{}"}})", zones, folder);
+  }
+  // The status; what is not to be had yet is asked for again.
+  int says(const std::string& call) const {
+    for (const auto late = std::chrono::steady_clock::now() + 10s; std::chrono::steady_clock::now() < late;) {
+      asio::io_context io;
+      tcp::socket s(io);
+      asio::error_code wrong;
+      s.connect({asio::ip::make_address("127.0.24.9"), 24'120}, wrong);
+      if (wrong) {
+        ::usleep(1'000);
+        continue;
+      }
+      asio::write(s, asio::buffer("POST /v1/" + call + " HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n"), wrong);
+      std::string answer;
+      asio::read(s, asio::dynamic_buffer(answer), wrong);
+      if (answer.size() > 12 && !answer.starts_with("HTTP/1.1 503")) return std::stoi(answer.substr(9, 3));
+    }
+    return 0;
+  }
+  std::string folder;
+  pid_t child = 0;
+};
+
 std::size_t count(const std::string& in, const std::string& what) {
   std::size_t n = 0;
   for (auto at = in.find(what); at != in.npos; at = in.find(what, at + 1)) ++n;
@@ -209,3 +259,22 @@
                                                                               {422, "Unprocessable Content"}, {429, "Too Many Requests"}, {500, "Internal Server Error"}, {507, "Insufficient Storage"}})
     CHECK(port::phrase(status) == phrase);
 }
+
+TEST(Port, an_order_for_a_zone_that_nobody_knows_is_told_so_and_what_stands_can_be_ended_whatever_the_settings_say) {
+  const Core core;
+  CHECK_EQUAL(200, core.says("Evacuation.Begin/anywhere"));  // without a map of zones nobody can tell
+  core.settings(R"({"east":"home","south":"home"})");
+  ::kill(core.child, SIGHUP);
+  int n = 0;
+  for (const auto late = std::chrono::steady_clock::now() + 10s; core.says(fmt::format("Evacuation.Begin/none{}", ++n)) == 200 && std::chrono::steady_clock::now() < late;) continue;
+  CHECK_EQUAL(404, core.says("Evacuation.Begin/never"));
+  CHECK_EQUAL(404, core.says("Evacuation.Finish/never"));
+  CHECK_EQUAL(200, core.says("Evacuation.Begin/south"));
+  CHECK_EQUAL(200, core.says("Evacuation.Begin/south"));
+  CHECK_EQUAL(200, core.says("Evacuation.Finish/anywhere"));
+  CHECK_EQUAL(200, core.says("Evacuation.Finish/anywhere"));  // sent again
+  core.settings(R"({"east":"home"})");
+  ::kill(core.child, SIGHUP);
+  CHECK_EQUAL(200, core.says("Evacuation.Finish/south"));
+  CHECK_EQUAL(200, core.says("Evacuation.Begin/east"));
+}
