A late beat of an earlier life does not bring it back

Cause: the gate took each beat with another id for a new life. One of the server before, late on a slow connection, brought its id back: callers were refused (421, other instance) until the next beat, and what a cold server had been sent in this second was forgotten.

Change: the last eight ids that another has followed are passed over.

--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -47,11 +47,14 @@
   static constexpr double late_part = 0.1;
   static constexpr std::int64_t second = 1'000'000;
 
-  // What a server says of itself. False for a late beat of the life at hand.
+  // What a server says of itself. False for a late beat of the life at hand, or of one that another has followed.
   bool beat(std::int64_t now, Server told, std::int64_t cold_left) {
     const bool same = told.id == server_.id;
     if (same && (told.sequence <= server_.sequence || gone_)) return !gone_ && told.sequence == server_.sequence;
     if (!same) {
+      if (std::find(followed_.begin(), followed_.end(), told.id) != followed_.end()) return false;
+      if (!server_.id.empty()) followed_.push_back(server_.id);
+      if (followed_.size() > most_followed) followed_.pop_front();
       // A process that begins does not know what the one before it sent in this second.
       const bool first = server_.id.empty() && told.sequence > 1;
       sent_.clear(), ended_.clear(), gone_ = false;
@@ -151,6 +154,8 @@
   }
   Server server_;
   bool gone_ = false;
+  std::deque<std::string> followed_;  // earlier lives here, the last ones
+  static constexpr std::size_t most_followed = 8;
   std::int64_t doubted_until_ = 0, closed_until_ = 0;
   int at_work_ = 0, coming_ = 0, unwritten_ = 0;
   double coming_bytes_ = 0;
--- a/tests/mesh/gate_test.cpp
+++ b/tests/mesh/gate_test.cpp
@@ -43,6 +43,23 @@
   CHECK(held::other_instance == g.verdict(11, "a", {}, usual));
 }
 
+// A connection that was slow to open brings it after the server that came next has called.
+TEST(Gate, a_late_word_of_an_earlier_life_brings_it_not_back_and_forgets_nothing_of_the_present_one) {
+  Gate g;
+  Gate::Bounds b;
+  b.warmup_per_s = 1;
+  CHECK(g.beat(0, server("a", 7), 0));
+  CHECK(g.beat(1, server("b", 1), second));
+  g.sent(false), g.wrote(2, false);
+  CHECK_FALSE(g.beat(3, server("a", 8, true), 0));
+  g.departed("a");
+  CHECK(held::other_instance == g.verdict(4, "a", b, usual));
+  CHECK(held::cold == g.verdict(4, "b", b, usual));  // its one of this second is counted still
+  for (int i = 0; i < 20; ++i) CHECK(g.beat(10 + i, server("c" + std::to_string(i), 1), 0));
+  CHECK_FALSE(g.beat(50, server("c18", 2), 0));
+  CHECK(held::none == g.verdict(51, "c19", {}, usual));
+}
+
 TEST(Gate, of_an_emptied_zone_nothing_passes_and_the_server_is_doubted_when_it_is_taken_back) {
   Gate g;
   g.beat(0, server("a", 1), 0);
