Each answer over both hops is taken by its own name, on a connection that can't mix them up

Cause, each shown by a test that fails on: - A request sent again under its id (its server had turned it away) could go over the same connection. A copy of the refusal, doubled and late, was then taken for the second's answer: 503 for what ran, or sent on to a third. - A refusal that names no request, and a probe's answer, could be met by the next request on the connection as a late copy, and a probe took any request's answer. - A surplus that was cut off within a header's value or its reason ran into the answer behind it: its status, or its X-Not-Executed, with our id and seal. - A server's own 503, 429 or 408 without X-Not-Executed was passed on as a promise for what may run once. By reading: an answer with `Expect: 100-continue` was answered with 100 by us, into the next request; a connection in use was kept after another server had the address; a stray answer in an upload was waited past to its deadline; an unreadable request's 4xx could be lost to a reset.

Change: a connection remembers its last eight ids and does not carry one again; after a nameless answer it is not kept; between nodes every answer is named, probes too; heads that run together are no answer; only the mark makes a promise; the small ones above.

--- a/src/ambit/carry.cpp
+++ b/src/ambit/carry.cpp
@@ -14,7 +14,7 @@
 
 using namespace std::chrono_literals;
 constexpr std::size_t pace = 64 * 1024;       // bytes a second that a body comes at, at the least
-constexpr std::chrono::seconds write_limit = 10s, body_limit = 10s, probe_limit = 1s;
+constexpr std::chrono::seconds write_limit = 10s, body_limit = 10s, probe_limit = 1s, out_limit = 1s;
 constexpr micros unready_back = 300'000;      // when to come back to a node that is not ready
 constexpr micros closing_margin = 8'000;      // by which a server's time is shorter than its caller's: its word still gets here
 constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -157,6 +157,13 @@
   return a;
 }
 
+// The mark alone says that a request has not run: a server's own status makes no promise for one that may run once.
+Carry::Answer Carry::passed_on(const Fate& f, const Trip& t) {
+  const bool promises = f.status == 408 || f.status == 429 || f.status == 503;
+  if (promises && t.channel->kind != creed::mode::idempotent) return own(502, "the server has not said that it did not run it");
+  return passed_on(f);
+}
+
 awaitable<void> Carry::serve(std::shared_ptr<Connection> c) {
   callers_.push_back(c);
   for (bool first = true;; first = false) {
@@ -206,6 +213,7 @@
     std::size_t written = 0;
     error = co_await c->write(head, c->in.method() == "HEAD" ? std::string_view() : std::string_view(a.body), written);
     if (!error && rest) co_await read_out(*c);
+    if (!error && !read) co_await c->see_out(out_limit);
     if (error || !stays) co_return;
     if (const auto next = c->in.next(); next != codec::reading::unfinished && next != codec::reading::complete) co_return;
   }
@@ -300,7 +308,7 @@
       case node::Order::what::settled: {
         ++counts_.good;
         const auto result = t->done[order.posting];
-        co_return passed_on(result->fate);
+        co_return passed_on(result->fate, *t);
       }
       case node::Order::what::declined:
       case node::Order::what::reversed:
@@ -315,7 +323,7 @@
         // A failure of a server's own, where nothing better came.
         if (t->last && t->last->how == outcome::answered) {
           ++counts_.failed;
-          co_return passed_on(t->last->fate);
+          co_return passed_on(t->last->fate, *t);
         }
         if (order.next == node::Order::what::declined && !t->may_have_run) {
           ++counts_.refused;
@@ -477,6 +485,7 @@
     if (probes) {
       const auto f = co_await hand_.probe(instance, probe_limit);
       a.status = f && f->how_far == came::answered ? f->status : 503;
+      a.headers = fmt::format("X-Attempt-Id: {}\r\n", parcel->id);
     } else {
       const auto errand = std::make_shared<Errand>();
       Result r;
@@ -489,6 +498,7 @@
       }
       if (r.how == outcome::answered || r.how == outcome::refused) {
         a = passed_on(r.fate);
+        if (r.fate.header("X-Attempt-Id").empty()) a.headers += fmt::format("X-Attempt-Id: {}\r\n", parcel->id);  // between nodes each answer has its name
       } else {
         a.status = r.how == outcome::held ? 503 : 502;
         a.headers = fmt::format("{}: {}\r\nX-Attempt-Id: {}\r\n", r.how == outcome::held ? held_header : broke_header, r.why.empty() ? "broken" : r.why, parcel->id);
@@ -522,7 +532,8 @@
     auto parcel = std::make_shared<Parcel>();
     parcel->method = "GET";
     parcel->target = "/";
-    parcel->headers = fmt::format("Host: mesh\r\nX-Mesh-Probe: 1\r\n{}: {}\r\n", instance_header, server);
+    parcel->id = fmt::format("probe-{}", ++number_);
+    parcel->headers = fmt::format("Host: mesh\r\nX-Mesh-Probe: 1\r\nX-Attempt-Id: {}\r\n{}: {}\r\n", parcel->id, instance_header, server);
     const Fate f = co_await way(machine).carry(std::make_shared<Errand>(), parcel, steady::now() + probe_limit);
     good = f.how_far == came::answered && f.status == 200;
   }
--- a/src/ambit/carry.h
+++ b/src/ambit/carry.h
@@ -79,6 +79,7 @@
   awaitable<void> probe(node::Desk* desk, std::string server);
   Answer own(int status, std::string_view fault, micros come_back = 0);
   static Answer passed_on(const Fate& f);
+  Answer passed_on(const Fate& f, const Trip& t);
   Way& way(rumour::Machine m);
 
   asio::io_context& io_;
--- a/src/ambit/hand.cpp
+++ b/src/ambit/hand.cpp
@@ -58,7 +58,7 @@
     r.why = gate::names[std::size_t(why)];
     co_return r;
   }
-  if (last_instance_ != gate_.server().id) way_.forget(), last_instance_ = gate_.server().id;
+  if (last_instance_ != gate_.server().id) way_.renew(), last_instance_ = gate_.server().id;
   const int beside = gate_.at_work();
   const bool comes = parcel->source != nullptr;
   gate_.sent(comes);
--- a/src/ambit/way.cpp
+++ b/src/ambit/way.cpp
@@ -29,19 +29,33 @@
   return false;
 }
 
+// A surplus that was cut off runs into what comes behind it: into a value, where nothing else tells.
+static bool runs_together(const codec::Message& m) {
+  static constexpr std::string_view version = "HTTP/1.";  // then a digit, a blank and a status: other values name versions, too
+  const auto begins_another = [](std::string_view text) {
+    for (auto at = text.find(version); at != text.npos; at = text.find(version, at + 1))
+      if (const auto rest = text.substr(std::min(text.size(), at + version.size() + 1)); rest.starts_with(' ') && codec::whole_number(rest.substr(1, 3)) >= 100) return true;
+    return false;
+  };
+  for (std::size_t i = 0; i < m.headers(); ++i)
+    if (begins_another(m.header(i).second)) return true;
+  return begins_another(m.reason());
+}
+
 std::string_view Fate::header(std::string_view name) const {
   for (const auto& [n, v] : headers)
     if (codec::same_name(n, name)) return v;
   return {};
 }
 
-std::shared_ptr<Connection> Way::kept() {
-  while (!idle_.empty()) {
-    auto c = std::move(idle_.back());
-    idle_.pop_back();
-    if (steady::now() < c->idle_since && c->quiet()) return c;  // here: until when it is good
+Way::Lane Way::kept(std::uint32_t id) {
+  for (std::size_t i = idle_.size(); i-- > 0;) {
+    if (idle_[i].has(id)) continue;
+    Lane lane = std::move(idle_[i]);
+    idle_.erase(idle_.begin() + std::ptrdiff_t(i));
+    if (steady::now() < lane.connection->idle_since && lane.connection->quiet()) return lane;  // here: until when it is good
   }
-  return nullptr;
+  return {};
 }
 
 void Way::forget() { idle_.clear(); }
@@ -54,7 +68,7 @@
 
 void Way::sweep() {
   const auto now = steady::now();
-  std::erase_if(idle_, [&](const auto& c) { return now >= c->idle_since || !c->quiet(); });
+  std::erase_if(idle_, [&](const Lane& l) { return now >= l.connection->idle_since || !l.connection->quiet(); });
 }
 
 awaitable<void> read_out(Connection& c) {
@@ -144,8 +158,11 @@
     return std::move(f);
   };
   if (errand->off) co_return told();
-  errand->connection = kept();
+  const auto known_as = std::uint32_t(std::hash<std::string>()(parcel->id));
+  Lane lane = kept(known_as);
+  errand->connection = lane.connection;
   if (!errand->connection) {
+    lane.life = life_;
     if (!sockets_.make_room()) co_return told();
     ++dials;
     errand->connection = std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE, answer_limits);
@@ -199,6 +216,7 @@
     if (errand->wrote) errand->wrote();
   }
   if (error || errand->off) co_return told();
+  bool nameless = false;
   for (int strangers = 0;;) {
     codec::reading got = c.in.whole() ? codec::reading::complete : co_await c.read(error);
     if (errand->off || got == codec::reading::unfinished) co_return told();
@@ -208,9 +226,18 @@
     }
     const bool interim = c.in.status() < 200;
     const auto echoed = c.in.header("X-Attempt-Id");
-    const bool ours = parcel->id.empty() || echoed == parcel->id || (echoed.empty() && !c.in.header("X-Not-Executed").empty());
+    // One that names no request is known by its place alone: of a connection that has carried named ones only.
+    nameless = c.in.times("X-Attempt-Id") == 0;
+    const bool turned_away = manners_.strangers && (!c.in.header("X-Not-Executed").empty() || c.in.status() == 421);
+    const bool ours = nameless ? parcel->id.empty() || turned_away : echoed == parcel->id && c.in.times("X-Attempt-Id") == 1;
+    if (!interim && runs_together(c.in)) {
+      f.broken = true;
+      co_return told();
+    }
     if (!interim && ours) break;
-    if (!interim && (!manners_.strangers || echoed.empty() || ++strangers > most_strangers)) {
+    // Before its body was sent whole no server has said anything of it: there is nothing to wait for.
+    if (f.early && !interim) co_return told();
+    if (!interim && (!manners_.strangers || nameless || ++strangers > most_strangers)) {
       f.broken = true;
       co_return told();
     }
@@ -239,12 +266,15 @@
       const auto digits = told_keep.substr(at + 8, told_keep.find_first_of(", ;", at + 8) - (at + 8));
       if (const auto s = codec::whole_number(digits); s >= 0) keep = std::min<steady::duration>(keep, std::chrono::seconds(s) * 8 / 10);
     }
-  if (wanted && c.in.keep_alive() && !c.in.behind() && idle_.size() < manners_.most_idle) {
+  // After one that named no request a copy of it could be any request's.
+  if (wanted && !nameless && lane.life == life_ && c.in.keep_alive() && !c.in.behind() && idle_.size() < manners_.most_idle) {
     c.in.next();
     c.no_limit();
     if (c.quiet()) {
       c.idle_since = steady::now() + keep;
-      idle_.push_back(held);
+      lane.connection = held;
+      lane.ids[lane.carried++ % lane.ids.size()] = known_as;
+      idle_.push_back(std::move(lane));
     }
   }
   co_return told();
--- a/src/ambit/way.h
+++ b/src/ambit/way.h
@@ -1,7 +1,10 @@
 // One request over a connection of a small pool kept to one address: sent once, never again by itself; how far it came is
-// a value. What comes back is checked by the id that it echoes before anything of it counts.
+// a value. What comes back is checked by the id that it echoes before anything of it counts (docs/design/calls.md).
 #pragma once
 
+#include <algorithm>
+#include <array>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -79,7 +82,7 @@
   std::size_t most_idle = 64;
   int user_timeout_ms = 0;  // what the peer's machine does not acknowledge for so long ends the connection; 0: no limit
   std::size_t asks_first = 0;  // before a body as long as that its peer is asked whether it wants it; 0: never
-  bool strangers = false;   // answers of other requests may stand before ours: read past
+  bool strangers = false;   // answers of other requests may stand before ours: read past; a refusal may name no request
 };
 
 class Way {
@@ -87,14 +90,24 @@
   Way(asio::io_context& io, Sockets& sockets, tcp::endpoint to, Manners manners) : io_(io), sockets_(sockets), to_(to), manners_(manners) {}
   // Errors are values in the fate. `until`: no byte is waited for longer.
   awaitable<Fate> carry(std::shared_ptr<Errand> errand, std::shared_ptr<const Parcel> parcel, steady::time_point until);
-  void forget();  // closes what is idle: the peer has failed, or is another now
+  void forget();  // closes what is idle: the peer has failed
+  void renew() { forget(), ++life_; }  // another has the address: what is in use is not kept either
   bool evict();   // the longest idle; false if there is none
   void sweep();
   const tcp::endpoint& to() const { return to_; }
   std::uint64_t dials = 0;
 
  private:
-  std::shared_ptr<Connection> kept();
+  // A connection and the last requests that it carried: an answer may come doubled and late, so one that is sent again under
+  // its id goes over another.
+  struct Lane {
+    std::shared_ptr<Connection> connection;
+    std::uint64_t life = 0;
+    std::array<std::uint32_t, 8> ids{};
+    std::size_t carried = 0;
+    bool has(std::uint32_t id) const { return std::find(ids.begin(), ids.end(), id) != ids.end(); }
+  };
+  Lane kept(std::uint32_t id);
   struct Poured {
     asio::error_code error;
     bool whole = false, early = false;  // early: its peer has said something before it had all
@@ -104,7 +117,8 @@
   Sockets& sockets_;
   tcp::endpoint to_;
   Manners manners_;
-  std::deque<std::shared_ptr<Connection>> idle_;
+  std::uint64_t life_ = 0;
+  std::deque<Lane> idle_;
 };
 
 // Reads on, and drops, what is left of a message that has its answer already: a connection closed over unread bytes is reset,
--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -58,6 +58,10 @@
       of(p).join(of(p).target_, at, n);
       return 0;
     };
+    s.on_status = [](http_parser* p, const char* at, std::size_t n) {
+      of(p).join(of(p).reason_, at, n);
+      return 0;
+    };
     s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
       Message& m = of(p);
       if (m.head_done_) return 0;  // trailers are passed over
@@ -175,13 +179,13 @@
 }
 
 bool Message::wants_word() {
-  if (word_given_ || !head_done_ || complete_ || came_ > 0 || behind() || parser_.http_minor == 0) return false;
+  if (parser_.type != HTTP_REQUEST || word_given_ || !head_done_ || complete_ || came_ > 0 || behind() || parser_.http_minor == 0) return false;
   word_given_ = same_name(header("Expect"), "100-continue");
   return word_given_;
 }
 
 void Message::forget() {
-  target_ = body_ = {};
+  target_ = body_ = reason_ = {};
   floor_ = 0;
   length_ = no_length;
   came_ = 0;
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -61,6 +61,7 @@
   // Gives back the memory of a long message that has been copied; what it said is gone, but for keep_alive().
   void let_go();
   int status() const { return parser_.status_code; }
+  std::string_view reason() const { return text(reason_); }  // of a response, behind its status
   int minor() const { return parser_.http_minor; }
   std::string_view method() const { return http_method_str(http_method(parser_.method)); }
   bool connects() const { return parser_.method == HTTP_CONNECT || parser_.upgrade; }
@@ -92,7 +93,7 @@
   std::size_t parsed_ = 0, end_ = 0;
   std::size_t floor_ = 0;  // where the body begins in the buffer
   std::uint64_t length_ = no_length, came_ = 0;
-  Span target_, body_;
+  Span target_, body_, reason_;
   std::vector<std::pair<Span, Span>> headers_;
   bool begun_ = false, in_value_ = false, head_done_ = false, complete_ = false, keep_alive_ = false,
        word_given_ = false;
--- a/tests/mesh/carry_test.cpp
+++ b/tests/mesh/carry_test.cpp
@@ -25,6 +25,10 @@
   std::function<std::string(const codec::Message&)> answer;
   std::function<std::string(const codec::Message&)> early;  // to a long body of which only a part has come: nothing closes
   int arrivals = 0, runs = 0;
+  int at = 0, taken_in = 0;                       // on which connection the present request came; how many there were
+  bool ends = false;                              // set by an answer: its connection ends behind it
+  std::function<std::chrono::milliseconds()> late;  // how long the next answer is held
+  std::vector<std::weak_ptr<node::Connection>> connections;
   std::string last_caller, last_instance, last_head;
 };
 
@@ -57,6 +61,7 @@
     asio::co_spawn(io_, accept(), asio::detached);
   }
   std::size_t up = ~std::size_t(0), down = ~std::size_t(0);  // bytes that pass
+  std::function<std::string(int, std::string)> mangle;       // what becomes of bytes for the caller, by connection
   end how = end::close;
   bool met = false;
 
@@ -64,11 +69,13 @@
   struct Pair {
     explicit Pair(asio::io_context& io) : caller(io), callee(io) {}
     tcp::socket caller, callee;
+    int number = 0;
     bool silent = false;
   };
   awaitable<void> accept() {
     for (;;) {
       auto p = std::make_shared<Pair>(io_);
+      p->number = ++pairs_;
       asio::error_code wrong;
       p->caller = co_await door_.async_accept(asio::redirect_error(asio::use_awaitable, wrong));
       if (wrong) co_return;
@@ -87,7 +94,9 @@
       if (ends) n = most;
       if (!met) most -= n;
       asio::error_code lost;
-      if (n > 0) co_await asio::async_write(to, asio::buffer(bytes.data(), n), asio::redirect_error(asio::use_awaitable, lost));
+      std::string said(bytes.data(), n);
+      if (n > 0 && mangle && &to == &p->caller) said = mangle(p->number, std::move(said));
+      if (n > 0) co_await asio::async_write(to, asio::buffer(said), asio::redirect_error(asio::use_awaitable, lost));
       if (ends) met = true;
       if (ends && how == end::silence) {
         p->silent = true;
@@ -105,6 +114,7 @@
   asio::io_context& io_;
   tcp::acceptor door_;
   tcp::endpoint at_, to_;
+  int pairs_ = 0;
 };
 
 // Nodes 0 .. n-1 of one zone, each with a server of service "one"; a client calls node 0.
@@ -150,6 +160,25 @@
     serve_at(n, a);
     return r;
   }
+  // Another life of the server beside it, at its address: connections end, its id is new.
+  void relive(int i) {
+    Node& n = *nodes_[std::size_t(i)];
+    for (const auto& weak : std::exchange(n.box.connections, {}))
+      if (const auto c = weak.lock()) c->abort();
+    rumour::Record r = *roll.find(machine(i));
+    gate::Server s = n.hand->door().server();
+    s.id = r.server = fmt::format("i-{}-{}", i, ++r.word), s.sequence = 1;
+    roll.take(r, 0);
+    n.hand->door().beat(ambit::steady_now(), s, 0);
+    for (auto& node : nodes_) node->carry->servers(roll, ambit::steady_now());
+  }
+  // Another life of the node: the connections of other nodes end.
+  void reset_node(int i) {
+    for (const auto& weak : std::exchange(nodes_[std::size_t(i)]->inner, {}))
+      if (const auto c = weak.lock()) c->abort();
+  }
+  std::shared_ptr<node::Connection> client() { return std::make_shared<node::Connection>(tcp::socket(io), sockets_, HTTP_RESPONSE); }
+  tcp::endpoint calls_at() const { return calls_at_ == tcp::endpoint() ? nodes_[0]->outbound.local_endpoint() : calls_at_; }
   // Only these servers are known to the callers.
   void only(std::initializer_list<int> known) {
     rumour::Roll some;
@@ -175,9 +204,9 @@
     bool done = false;
     asio::co_spawn(
         io, [&]() -> awaitable<void> {
-          auto c = std::make_shared<node::Connection>(tcp::socket(io), sockets_, HTTP_RESPONSE);
+          auto c = client();
           c->limit(node::steady::now() + patience);  // who gets no answer goes
-          if (!co_await c->connect(calls_at_ == tcp::endpoint() ? nodes_[0]->outbound.local_endpoint() : calls_at_)) {
+          if (!co_await c->connect(calls_at())) {
             std::size_t written = 0;
             co_await c->write(head, body, written);
             if (breaks_off) {
@@ -219,6 +248,7 @@
     ground::Settings settings;
     tcp::acceptor outbound, inbound, application;
     Box box;
+    std::vector<std::weak_ptr<node::Connection>> inner;  // of other nodes
     std::unique_ptr<ambit::Hand> hand;
     std::unique_ptr<ambit::Carry> carry;
   };
@@ -248,7 +278,7 @@
   void serve_at(Node& node, tcp::acceptor& a) {
     std::function<awaitable<void>(std::shared_ptr<node::Connection>)> f = [this, &node](auto c) { return serve(node.box, std::move(c)); };
     if (&a == &node.outbound) f = [&node](auto c) { return node.carry->serve(std::move(c)); };
-    if (&a == &node.inbound) f = [&node](auto c) { return node.carry->serve_inner(std::move(c)); };
+    if (&a == &node.inbound) f = [&node](auto c) { return node.inner.push_back(c), node.carry->serve_inner(std::move(c)); };
     asio::co_spawn(io, port::accept(a, sockets_, {16 * 1024, 1024 * 1024}, std::move(f)), asio::detached);
   }
   static void listen(tcp::acceptor& a, const std::string& at) {
@@ -260,7 +290,8 @@
     a.non_blocking(true);
   }
   awaitable<void> serve(Box& box, std::shared_ptr<node::Connection> c) {
-    for (;;) {
+    box.connections.push_back(c);
+    for (const int me = ++box.taken_in;;) {
       asio::error_code error;
       codec::reading got = c->in.whole() ? codec::reading::complete : co_await c->read(error, 100'000);
       if (got == codec::reading::longer && box.early) {
@@ -273,15 +304,20 @@
       }
       if (got == codec::reading::longer) got = co_await c->read(error);
       if (got != codec::reading::complete) co_return;
-      ++box.arrivals;
+      ++box.arrivals, box.at = me;
       box.last_caller = c->in.header("X-Caller-Service");
       box.last_instance = c->in.header("X-Target-Instance");
       box.last_head.clear();
       for (std::size_t i = 0; i < c->in.headers(); ++i) box.last_head += fmt::format("{}: {}\n", c->in.header(i).first, c->in.header(i).second);
       const std::string bytes = box.answer ? box.answer(c->in) : (++box.runs, seal_of(c->in));
+      const bool ends = std::exchange(box.ends, false);
       if (bytes.empty()) co_return;
+      if (box.late) {
+        asio::steady_timer pause(io, box.late());
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      }
       std::size_t written = 0;
-      if (co_await c->write(bytes, {}, written)) co_return;
+      if (co_await c->write(bytes, {}, written) || ends) co_return;
       if (bytes.find("Connection: close") != bytes.npos || c->in.next() == codec::reading::malformed) co_return;
     }
   }
@@ -600,3 +636,276 @@
   CHECK(promises > 20);
   CHECK(good > 50);
 }
+
+// A turned-away request that names none: a copy of it, late on a kept connection, is not the next one's.
+TEST(Carry, a_refusal_that_names_no_request_is_taken_once) {
+  Mesh m(1);
+  int n = 0;
+  std::map<int, std::string> owed;
+  m.box(0).answer = [&](const codec::Message& in) {
+    const std::string before = std::exchange(owed[m.box(0).at], "");
+    return ++n == 1 ? (owed[m.box(0).at] = shed) : before + (++m.box(0).runs, seal_of(in));
+  };
+  CHECK_EQUAL(200, m.post().status);  // turned away, and sent again
+  CHECK_EQUAL(200, m.post().status);
+  CHECK_EQUAL(2, m.runs());
+}
+
+// The same server again, and what it said first comes a second time as it is at work on what was sent again.
+TEST(Carry, an_answer_to_a_request_under_the_same_id_that_comes_doubled_and_late_counts_once) {
+  for (const int remote : {0, 1})
+    for (const bool between : {false, true}) {
+      if (between && !remote) continue;
+      Mesh m(2);
+      m.only({remote});
+      std::map<int, std::string> owed;
+      int n = 0;
+      const auto refusal = [](const codec::Message& in) { return fmt::format("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {}\r\nContent-Length: 0\r\n\r\n", in.header("X-Attempt-Id")); };
+      m.box(remote).answer = [&](const codec::Message& in) {
+        const std::string before = std::exchange(owed[m.box(remote).at], "");
+        if (++n == 1) return between ? refusal(in) : (owed[m.box(remote).at] = refusal(in));
+        return before + (++m.box(remote).runs, seal_of(in));
+      };
+      std::unique_ptr<Relay> relay;
+      if (between) {
+        relay = m.relay(Mesh::place::nodes, remote);
+        relay->mangle = [&](int at, std::string bytes) { return std::exchange(owed[at], n == 1 ? bytes : "") + bytes; };
+      }
+      const Answered a = m.post();
+      m.rest();
+      CHECK_EQUAL(200, a.status);
+      CHECK_EQUAL(1, m.runs());
+    }
+}
+
+TEST(Carry, an_answer_after_its_time_reaches_nobody_and_its_connection_is_not_used_again) {
+  for (const int remote : {0, 1}) {
+    Mesh m(2, 1, 60);
+    m.only({remote});
+    Box& box = m.box(remote);
+    box.answer = [&](const codec::Message& in) { return seal_of(in, fmt::format("b{}", ++box.runs)); };
+    CHECK_EQUAL(200, m.post().status);
+    box.late = [&] { return box.runs == 2 ? 90ms : 0ms; };
+    CHECK_EQUAL(504, m.post().status);
+    STRCMP_EQUAL("b3", m.post().body.c_str());
+    CHECK_EQUAL(2, box.taken_in);
+    m.io.run_for(100ms);
+    STRCMP_EQUAL("b4", m.post().body.c_str());
+    CHECK_EQUAL(4, m.runs());
+  }
+}
+
+TEST(Carry, a_surplus_that_was_cut_off_does_not_lend_its_head_to_the_answer_behind_it) {
+  const std::string head = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Sent: 7\r\nX-Attempt-Id: before\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t cut = 1; cut < head.size(); ++cut) {
+    Mesh m(2);
+    m.only({0});
+    int n = 0;
+    m.box(0).answer = [&](const codec::Message& in) { return (n++ > 0 ? head.substr(0, cut) : "") + (++m.box(0).runs, seal_of(in)); };
+    m.get();
+    const int status = m.post().status;
+    m.rest();
+    CHECK_EQUAL(2, m.runs());
+    CHECK(status == 502 || status == 200);
+  }
+}
+
+TEST(Carry, a_servers_own_status_makes_no_promise_for_what_may_run_once) {
+  for (const int status : {503, 429, 408})
+    for (const char* path : {"/once/x", "/big/x"})
+      for (const int remote : {0, 1}) {
+        Mesh m(2, 1);
+        m.only({remote});
+        m.box(remote).answer = [&](const codec::Message& in) {
+          return ++m.box(remote).runs, fmt::format("HTTP/1.1 {} Own\r\nX-Attempt-Id: {}\r\nContent-Length: 0\r\n\r\n", status, in.header("X-Attempt-Id"));
+        };
+        CHECK_EQUAL(502, m.post(path).status);
+        CHECK_EQUAL(1, m.runs());
+      }
+}
+
+TEST(Carry, a_probe_takes_no_requests_answer_for_its_own_nor_a_request_a_probes) {
+  Mesh m(1);
+  std::string owed;
+  m.box(0).answer = [&](const codec::Message& in) {
+    const std::string before = std::exchange(owed, "");
+    if (in.target() != "/probe") return before + (++m.box(0).runs, owed = seal_of(in, "b"));
+    owed = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    return before + owed;
+  };
+  CHECK_EQUAL(200, m.post().status);
+  int probed = 0;
+  asio::co_spawn(
+      m.io, [&]() -> awaitable<void> { probed = (co_await m.hand(0).probe("i-0", 1s))->status; }, asio::detached);
+  CHECK(m.until([&] { return probed != 0; }));
+  CHECK_EQUAL(503, probed);
+  m.box(0).answer = [&](const codec::Message& in) {
+    const bool same = m.box(0).at == 1;
+    return (same ? owed : "") + (++m.box(0).runs, seal_of(in));
+  };
+  CHECK_EQUAL(200, m.post().status);
+  CHECK_EQUAL(2, m.runs());
+}
+
+// A stray answer in the midst of an upload: it is no answer to what no server has whole, and nothing is waited for.
+TEST(Carry, a_stray_answer_ends_an_upload_at_once_and_is_not_its_answer) {
+  Mesh m(1);
+  m.box(0).early = [&](const codec::Message&) { return std::string("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\nContent-Length: 1\r\n\r\no"); };
+  const auto begun = std::chrono::steady_clock::now();
+  const Answered a = m.post("/big/x", std::string(900'000, 'u'));
+  CHECK_EQUAL(503, a.status);
+  CHECK(!a.retry_after.empty());
+  CHECK_EQUAL(0, m.runs());
+  CHECK(std::chrono::steady_clock::now() - begun < 1s);
+}
+
+namespace {
+
+// Drawn plays: clients that keep connections, pipeline and leave; servers whose answers come doubled, late, cut off, under another
+// name or none, that fall silent, reset and live again; between the nodes the same. Who answered what is written down by the
+// servers, and each client holds its answers against that.
+class Play {
+ public:
+  explicit Play(unsigned seed) : chance_(seed), servers_(1 + draw(3)), m_(servers_, 2, 120) {
+    for (int i = 0; i < servers_; ++i) m_.box(i).answer = [this, i](const codec::Message& in) { return server(i, in); };
+    for (int i = 1; i < servers_ && draw(2) == 0; ++i) {
+      relays_.push_back(m_.relay(Mesh::place::nodes, i));
+      relays_.back()->mangle = [this, i](int at, std::string bytes) { return surplus(owed_between_[{i, at}], std::move(bytes), 10); };
+    }
+    for (int i = 0; i < clients; ++i) asio::co_spawn(m_.io, client(), asio::detached);
+    while (left_ > 0) {
+      m_.io.run_one_for(1s);
+      if (draw(150) == 0) m_.relive(draw(servers_));
+      if (draw(150) == 0) m_.reset_node(draw(servers_));
+    }
+    m_.rest();
+    for (const auto& [id, r] : asked_) judge(id, r);
+  }
+  std::string faults;
+  int good = 0, promises = 0, unknown = 0, none = 0, surpluses = 0, requests = 0;
+
+ private:
+  static constexpr int clients = 5, each = 8;
+  struct Request {
+    bool once = false;
+    int runs = 0, status = 0;
+    std::string body;
+    std::vector<std::string> said;  // by servers, whole and sealed
+  };
+  int draw(int of) { return int(chance_() % unsigned(of)); }
+  void fault(const std::string& text) { faults += text + "\n"; }
+
+  // What goes out in place of an answer: with a copy of it at once, or later on this connection, whole or cut off.
+  std::string surplus(std::string& owed, std::string bytes, int one_in) {
+    std::string out = std::exchange(owed, "") + bytes;
+    if (draw(one_in) != 0) return out;
+    ++surpluses;
+    const std::string copy = draw(2) ? bytes : bytes.substr(0, std::size_t(1 + draw(int(bytes.size()))));
+    (draw(3) == 0 ? out : owed) += copy;
+    return out;
+  }
+  std::string server(int i, const codec::Message& in) {
+    Box& box = m_.box(i);
+    const std::string id(in.header("X-Attempt-Id"));
+    if (in.target() == "/probe") return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    const auto asked = asked_.find(id);
+    if (asked == asked_.end()) return fault(id + " was asked by nobody"), "";
+    Request& r = asked->second;
+    const auto is = [&](int status, const std::string& more, const std::string& body = {}) {
+      return fmt::format("HTTP/1.1 {} Said\r\n{}Content-Length: {}\r\n\r\n{}", status, more, body.size(), body);
+    };
+    const std::string named = "X-Attempt-Id: " + id + "\r\n", sealed = named + "X-Server-Seal: s\r\n";
+    const std::string body = fmt::format("{} by {} {}", id, i, std::string(std::size_t(draw(4) ? draw(40) : draw(40'000)), 'w'));
+    std::string said;
+    const int kind = draw(100);
+    if (kind < 8) said = is(503, named + "X-Not-Executed: 1\r\n");
+    else if (kind < 12) said = is(503, "X-Not-Executed: 1\r\n");
+    else if (kind < 14) said = is(421, draw(2) ? named : "");
+    else {
+      ++r.runs;
+      if (kind < 16) return "";  // a reset, in effect
+      if (kind < 18) said = is(500, sealed, body);
+      else if (kind < 20) said = is(draw(2) ? 503 : 429, named);
+      else if (kind < 22) said = is(200, "X-Attempt-Id: other\r\nX-Server-Seal: s\r\n", "not yours");
+      else if (kind < 24) said = is(200, sealed + "Content-Encoding: gzip\r\n", "not plain");
+      else if (kind < 26) said = is(200, named, "not sealed");
+      else if (kind < 28) said = is(200, sealed + "Expect: 100-continue\r\n", body), r.said.push_back(body);
+      else if (kind < 32) {
+        const std::string whole = is(200, sealed, body);
+        box.ends = kind < 31;  // else silence
+        return whole.substr(0, std::size_t(1 + draw(int(whole.size()) - 1)));
+      }
+      else said = is(200, sealed, body), r.said.push_back(body);
+    }
+    return surplus(owed_[{i, box.at}], std::move(said), 4);
+  }
+
+  awaitable<void> client() {
+    std::shared_ptr<node::Connection> c;
+    for (int n = 0; n < each;) {
+      if (!c) {
+        c = m_.client();
+        c->limit(node::steady::now() + 10s);
+        if (co_await c->connect(m_.calls_at())) break;
+      }
+      std::vector<std::string> ids;
+      std::string text;
+      for (int piped = draw(6) == 0 ? 2 : 1; piped-- > 0 && n < each; ++n) {
+        const std::string id = fmt::format("t{}", ++requests), path = std::array{"safe", "once", "big"}[std::size_t(draw(3))];
+        const std::string body(std::size_t(draw(8) == 0 ? 80'000 + draw(50'000) : draw(3) * draw(500)), 'u');
+        asked_[id].once = path != "safe";
+        text += fmt::format("POST /{}/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {}\r\nX-Remaining-Ms: 100\r\nContent-Length: {}\r\n\r\n{}", path, id, body.size(), body);
+        ids.push_back(id);
+      }
+      std::size_t written = 0;
+      asio::error_code error = co_await c->write(text, {}, written);
+      if (draw(20) == 0) {  // goes away
+        c.reset();
+        continue;
+      }
+      bool stays = !error;
+      for (const std::string& id : ids) {
+        if (!stays) break;
+        const auto got = c->in.whole() ? codec::reading::complete : co_await c->read(error);
+        stays = got == codec::reading::complete && c->in.keep_alive();
+        if (got != codec::reading::complete) break;
+        Request& r = asked_[id];
+        r.status = c->in.status(), r.body = c->in.body();
+        if (r.status < 300 && c->in.header("X-Attempt-Id") != id) fault(id + " got the answer of " + std::string(c->in.header("X-Attempt-Id")));
+        if (c->in.next() == codec::reading::malformed) fault(id + " is followed by no answer");
+      }
+      if (stays && !c->quiet()) fault(ids.back() + " got more than its answer");
+      if (!stays) c.reset();
+    }
+    --left_;
+  }
+
+  void judge(const std::string& id, const Request& r) {
+    const bool promise = r.status == 503 || r.status == 429 || r.status == 408 || r.status == 421;
+    if (r.once && r.runs > 1) fault(fmt::format("{} ran {} times", id, r.runs));
+    if (r.once && promise && r.runs > 0) fault(fmt::format("{} ran and got {}", id, r.status));
+    if (r.status == 200 && std::find(r.said.begin(), r.said.end(), r.body) == r.said.end()) fault(fmt::format("{} got 200 '{}'", id, r.body.substr(0, 60)));
+    good += r.status == 200, promises += promise, none += r.status == 0, unknown += r.status >= 500 && !promise;
+  }
+
+  std::mt19937 chance_;
+  const int servers_;
+  std::map<std::string, Request> asked_;
+  std::map<std::pair<int, int>, std::string> owed_, owed_between_;
+  Mesh m_;
+  std::vector<std::unique_ptr<Relay>> relays_;
+  int left_ = clients;
+};
+
+}  // namespace
+
+TEST(Carry, drawn_plays_of_late_doubled_cut_and_nameless_answers_over_both_hops_bring_each_its_own) {
+  int good = 0, promises = 0, unknown = 0, surpluses = 0;
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    Play p(seed);
+    STRCMP_EQUAL_TEXT("", p.faults.c_str(), fmt::format("seed {}", seed).c_str());
+    good += p.good, promises += p.promises, unknown += p.unknown, surpluses += p.surpluses;
+  }
+  UT_PRINT(fmt::format("40 plays: {} good, {} promises, {} unknown, {} surpluses", good, promises, unknown, surpluses).c_str());
+  CHECK(good > 600 && promises > 20 && unknown > 50 && surpluses > 100);
+}
