A call whose caller has gone before it is read is not begun at a core

Cause: evacuations carry no version, so one that lay in a frozen core's socket began anew after it had been sent elsewhere and taken back. Change: the core's control port looks for the caller's end before it begins a call.

--- a/src/port/port.cpp
+++ b/src/port/port.cpp
@@ -68,6 +68,9 @@
     if (error || got == codec::reading::unfinished) co_return;
     Reply r;
     const bool read = got == codec::reading::complete;
+    // What lay here while this process stood still, or the network did, was given up and sent to another since; an evacuation
+    // begun by it now would be begun after it was taken back.
+    if (read && bounds_.for_who_waits && c->peer_gone()) co_return;
     if (read && waiting_ >= bounds_.most_waiting) {
       r = {503, R"({"fault":"too many calls wait"})", {}};
     } else if (read) {
--- a/src/port/port.h
+++ b/src/port/port.h
@@ -30,6 +30,7 @@
 struct Bounds {
   std::size_t most_waiting = 128;          // one more is answered 503 unheard
   std::chrono::milliseconds wait{3'000};  // for an answer; then the connection ends without one
+  bool for_who_waits = false;  // a call whose caller has closed its end is not begun: it has gone elsewhere with it
 };
 
 std::string_view phrase(int status);
--- a/tests/mesh/port_test.cpp
+++ b/tests/mesh/port_test.cpp
@@ -207,6 +207,19 @@
   CHECK_EQUAL(0, count(next.heard, "<a>"));
 }
 
+// What lay in the sockets of a process that stood still: an evacuation so begun would come after it was taken back elsewhere.
+TEST(Port, a_call_whose_caller_has_gone_elsewhere_before_it_is_read_is_not_begun) {
+  Office o({.for_who_waits = true});
+  {
+    Caller gone(o);
+    gone.get("now");
+  }
+  Caller waits(o);
+  waits.get("now");
+  CHECK(waits.hears("<now>"));
+  CHECK_EQUAL(1, o.begun);
+}
+
 TEST(Port, a_call_that_waits_too_long_ends_with_its_connection_and_its_answer_reaches_nobody) {
   Office o({.most_waiting = 128, .wait = 50ms});
   Caller c(o);
