A silent voter's seat is given away before the next loss, and each life of a store is told

Cause: processes killed and replaced showed the seat given away 4 s after the loss, where the next may come 4 s after the successor's start; and a disk put back from before a life that others had heard voted, as a life by itself left no mark. Change: half of contact, beats five times as often while a voter is unheard, a life that votes counts one change.

--- a/src/consensus/voter.h
+++ b/src/consensus/voter.h
@@ -54,6 +54,8 @@
   std::optional<Change> saw(const std::string& store, std::uint64_t counter);
   // What another voter (by its store) saw of this one: 0 if nothing. Only from a majority, this one counted, it votes again.
   void witnessed(const std::string& by, std::uint64_t counter);
+  // This life votes from now on: told to others, so that a copy of the store from before it is known as older.
+  Change lives() { return next(); }
   void fail() { standing_ = verdict::older; }  // its store took no write: final for this process
 
   verdict standing() const { return standing_; }  // yes, returning or older
--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -560,8 +560,10 @@
   if (const Seat* s = voters().seat(b.store); s && machine_of(s->address) == from) heard_[b.store] = now;
   if (b.voters.version > voters().version) told(b.voters);
   if (b.yours == store()) {
+    const bool returned = voter_->standing() == verdict::returning;
     voter_->witnessed(b.store, b.seen);
     if (voter_->standing() == verdict::older && !failed_) become(hex(chance_()));
+    else if (returned && voter_->standing() == verdict::yes) put(voter_->lives(), trove::Trove::lasting::synced);
   }
   if (const auto change = voter_->saw(b.store, b.counter)) put(*change, trove::Trove::lasting::in_time);
   if (b.answer) {
@@ -612,7 +614,7 @@
       continue;
     }
     // Unheard by a majority of the voters, each for so long: a cut beside this one core empties no seat.
-    const auto silent = [&](std::int64_t age) { return age > spans_.contact; };
+    const auto silent = [&](std::int64_t age) { return age > spans_.contact / 2; };
     const auto at = heard_.find(s.store);
     if (!silent(now - (at == heard_.end() ? begun_ : at->second))) continue;
     std::set<std::string> unheard;
@@ -709,7 +711,13 @@
   doubtful_since_ = accepted() > holds_.number ? (doubtful_since_ > 0 ? doubtful_since_ : now) : 0;
   can_hand_over_ = !standbys(now).empty();
   if (now >= next_beat_) {
-    next_beat_ = now + (fresh(now) && known_ <= holds_.number ? beat_pause : beat_pause / 5);
+    // Somebody unheard is looked into at once: the sooner a seat is given away the sooner a further loss is borne.
+    bool amiss = !fresh(now) || known_ > holds_.number || voters().changing();
+    for (const Seat& s : voters().now) {
+      const auto it = heard_.find(s.store);
+      amiss = amiss || (s.store != store() && now - (it == heard_.end() ? begun_ : it->second) > 3 * beat_pause / 2);
+    }
+    next_beat_ = now + (amiss ? beat_pause / 5 : beat_pause);
     beat(now, out, false);
   }
   if (chase_ && now >= chase_->next) chase(now, out);
--- a/src/locus/keep.h
+++ b/src/locus/keep.h
@@ -28,7 +28,8 @@
 namespace robinpin::locus {
 
 struct Spans {                       // microseconds
-  std::int64_t contact = 3'000'000;  // a voter unheard by a majority for so long gives its seat to a standby
+  std::int64_t contact = 3'000'000;  // a voter unheard by a majority for half of it gives its seat to a standby: before the next loss, which may
+                                     // come `settle` after its successor's start, it has to be done
 };
 
 class Keep {
--- a/src/mesh/locus.cpp
+++ b/src/mesh/locus.cpp
@@ -31,7 +31,7 @@
         sockets_(std::max(32, settings.file_limit - 264)),
         trove_(std::move(trove)),
         keep_(span::machine_of(settings.ip), creed_, rumour_, *trove_, (std::uint64_t(chance_of(settings)) << 32) | chance_of(settings), {settings.contact}),
-        control_(io_, sockets_, call_limits, {.for_who_waits = true}),
+        control_(io_, sockets_, call_limits, {.wait = 30s, .for_who_waits = true}),
         wakes_(io_),
         aside_(std::move(aside)) {
     using What = locus::Order::what;
