--- a/src/ambit/way.cpp
+++ b/src/ambit/way.cpp
@@ -216,7 +216,7 @@
     if (errand->wrote) errand->wrote();
   }
   if (error || errand->off) co_return told();
-  bool nameless = false;
+  bool nameless_refusal = false;
   for (int strangers = 0;;) {
     codec::reading got = c.in.whole() ? codec::reading::complete : co_await c.read(error);
     if (errand->off || got == codec::reading::unfinished) co_return told();
@@ -227,9 +227,9 @@
     const bool interim = c.in.status() < 200;
     const auto echoed = c.in.header("X-Attempt-Id");
     // One that names no request is known by its place alone: of a connection that has carried named ones only.
-    nameless = c.in.times("X-Attempt-Id") == 0;
-    const bool turned_away = manners_.strangers && (!c.in.header("X-Not-Executed").empty() || c.in.status() == 421);
-    const bool ours = nameless ? parcel->id.empty() || turned_away : echoed == parcel->id && c.in.times("X-Attempt-Id") == 1;
+    const bool nameless = c.in.times("X-Attempt-Id") == 0;
+    nameless_refusal = nameless && manners_.strangers && (!c.in.header("X-Not-Executed").empty() || c.in.status() == 421);
+    const bool ours = nameless ? parcel->id.empty() || nameless_refusal : echoed == parcel->id && c.in.times("X-Attempt-Id") == 1;
     if (!interim && runs_together(c.in)) {
       f.broken = true;
       co_return told();
@@ -266,8 +266,8 @@
       const auto digits = told_keep.substr(at + 8, told_keep.find_first_of(", ;", at + 8) - (at + 8));
       if (const auto s = codec::whole_number(digits); s >= 0) keep = std::min<steady::duration>(keep, std::chrono::seconds(s) * 8 / 10);
     }
-  // After one that named no request a copy of it could be any request's.
-  if (wanted && !nameless && lane.life == life_ && c.in.keep_alive() && !c.in.behind() && idle_.size() < manners_.most_idle) {
+  // A copy of a refusal that named no request could be any request's.
+  if (wanted && !nameless_refusal && lane.life == life_ && c.in.keep_alive() && !c.in.behind() && idle_.size() < manners_.most_idle) {
     c.in.next();
     c.no_limit();
     if (c.quiet()) {
