--- a/tests/mesh/fleet.h
+++ b/tests/mesh/fleet.h
@@ -1,7 +1,8 @@
 // Whole fleets of the mesh's state logic in memory, under one seed, told the time: rumours and core over the in-memory
-// span and trove, machines that are killed, lose their disks, are cut off and come back.
+// span and trove, machines that are killed, lose their disks, are cut off and come back. Programs that measure derive from it.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -40,6 +41,7 @@
     for (int i = 0; i < ambits; ++i) add(ambit(i), false, i);
     for (auto& [m, n] : nodes) start(m, true);
   }
+  virtual ~Fleet() = default;
   static Machine core(int i) { return 100 + Machine(i); }
   static Machine ambit(int i) { return 1000 + Machine(i); }
 
@@ -62,9 +64,7 @@
       const std::string why = trouble_of<void>([&] { return n.keep->begin(first, founders); });
       if (!why.empty()) faults.push_back(why);
     }
-    rumour::Outbox out;
-    n.rumour->state(net.now, n.record, out);
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) { n.rumour->state(net.now, n.record, out); });
   }
   void kill(Machine m) {
     Node& n = nodes.at(m);
@@ -83,11 +83,7 @@
       net.run(std::min(until, net.now + 50'000));
       for (auto& [m, n] : nodes) {
         if (!n.up()) continue;
-        rumour::Outbox out;
-        n.rumour->tick(net.now, out);
-        if (n.keep) n.keep->tick(net.now, out);
-        send(m, out);
-        look(n);
+        tick(m, n);
       }
     }
   }
@@ -97,9 +93,7 @@
     auto outcome = std::make_shared<std::optional<locus::Outcome>>();
     Node& n = nodes.at(m);
     if (!n.up()) return outcome;
-    rumour::Outbox out;
-    n.keep->order(net.now, {what, text}, [outcome](locus::Outcome o) { *outcome = std::move(o); }, out);
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) { n.keep->order(net.now, {what, text}, [outcome](locus::Outcome o) { *outcome = std::move(o); }, out); });
     return outcome;
   }
   // The same, until it is settled; 0 for an answer that never came.
@@ -119,9 +113,7 @@
   void state(Machine m, rumour::Record r) {
     Node& n = nodes.at(m);
     n.record = r;
-    rumour::Outbox out;
-    n.rumour->state(net.now, r, out);
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) { n.rumour->state(net.now, r, out); });
   }
 
   span::Net net;
@@ -129,29 +121,43 @@
   std::mt19937 chance;
   std::vector<std::string> faults;  // what may never be
 
- private:
+ protected:
+  // Each call into a node's own code, and what it wants sent: who measures stands around it.
+  virtual void called(Machine m, Node& n, const std::function<void(rumour::Outbox&)>& call) {
+    (void)n;
+    rumour::Outbox out;
+    call(out);
+    send(m, out);
+  }
   void add(Machine m, bool is_core, int i) {
     Node& n = nodes[m];
     n.core = is_core;
     n.zone = std::string("zone-") + char('a' + i % 3);
   }
-  void heard(Machine m, Machine from, std::string_view bytes) {
+  virtual void heard(Machine m, Machine from, std::string_view bytes) {
     Node& n = nodes.at(m);
-    rumour::Outbox out;
-    const auto k = rumour::kind_of(bytes);
-    if (k == rumour::kind::news || k == rumour::kind::digest || k == rumour::kind::listing) {
-      n.rumour->heard(net.now, from, bytes, out);
-      if (n.keep) n.keep->keep(n.rumour->fresh());
-    } else if (n.keep) {
-      n.keep->heard(net.now, from, bytes, out);
-    }
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) {
+      const auto k = rumour::kind_of(bytes);
+      if (k == rumour::kind::news || k == rumour::kind::digest || k == rumour::kind::listing) {
+        n.rumour->heard(net.now, from, bytes, out);
+        if (n.keep) n.keep->keep(n.rumour->fresh());
+      } else if (n.keep) {
+        n.keep->heard(net.now, from, bytes, out);
+      }
+    });
+    look(n);
+  }
+  void tick(Machine m, Node& n) {
+    called(m, n, [&](rumour::Outbox& out) {
+      n.rumour->tick(net.now, out);
+      if (n.keep) n.keep->tick(net.now, out);
+    });
     look(n);
   }
   void send(Machine m, const rumour::Outbox& out) {
     for (const auto& d : out) nodes.at(m).span->send(d.to, d.bytes);
   }
-  void look(Node& n) {
+  virtual void look(Node& n) {
     if (!n.rumour->caught_up() && !n.core) return;
     for (const auto& [name, item] : n.creed->items()) {
       auto& v = n.seen[name];
