--- a/bench/mesh_procs.py
+++ b/bench/mesh_procs.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import pathlib
+import shutil
 import signal
 import statistics
 import subprocess
@@ -85,26 +86,34 @@
 async def measure(o, folder, started):
     cores = [f"127.{o.net}.0.{i + 1}" for i in range(o.cores)]
     ambits = [f"127.{o.net}.{1 + i // 250}.{1 + i % 250}" for i in range(o.ambits)]
-    pids = {}
-    for i, ip in enumerate(cores + ambits):
+    pids, process = {}, {}
+
+    def begin(i, ip, first):
         core = i < o.cores
         role = "locus" if core else "ambit"
         path = f"{folder}/{role}-{ip}.json"
-        pathlib.Path(path).write_text(json.dumps(settings(f"{role}-{i}", ip, f"zone-{i % 20}", cores[:3], core, folder)))
+        pathlib.Path(path).write_text(json.dumps(settings(f"{role}-{i}", ip, f"zone-{i % 20}", cores[:3], core, folder) | {"first_start": first}))
         started.append(subprocess.Popen([f"{o.build}/robinpin", role, "--settings", path], stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL))
-        pids[ip] = started[-1].pid
+        process[ip], pids[ip] = started[-1], started[-1].pid
+
+    for i, ip in enumerate(cores + ambits):
+        begin(i, ip, True)
     playing = [asyncio.create_task(beats(ip, n)) for n, ip in enumerate(ambits)]
 
+    answers = []
+
     async def taken():
-        return (await call(cores[0], 18620, "POST", "/v1/Configuration.Adjust", routes(0, o.items, "00000001")))[0] == 200
+        answers.append((await call(cores[0], 18620, "POST", "/v1/Configuration.Adjust", routes(0, o.items, "00000001")))[0])
+        return answers[-1] == 200
 
     async def all_ready():
         answers = await asyncio.gather(*(call(ip, 18625, "GET", "/v1/readiness") for ip in ambits))
         return all(a[0] == 200 for a in answers)
 
     if not await until(taken, 30) or not await until(all_ready, 60):
-        print("not ready in time")
+        print(f"not ready in time; the first call of {o.items} routes was answered", answers)
         return
+    print(f"the first call of {o.items} routes was answered", answers)
     await asyncio.sleep(5)
 
     async def span(name, seconds, act):
@@ -131,6 +140,23 @@
 
     await span("rest", o.seconds, asyncio.sleep)
     await span("changes", o.seconds, changes)
+    # An ambit is killed and starts again; then a core, its disk emptied: until each says that it is ready.
+    for name, i, ip, port in (("restart", o.cores + o.ambits - 1, ambits[-1], 18625), ("empty", o.cores - 1, cores[-1], 18620)):
+        took = []
+        for _ in range(5):
+            process[ip].kill()
+            process[ip].wait()
+            if name == "empty":
+                shutil.rmtree(f"{folder}/locus-{i}")
+            began = time.monotonic()
+            begin(i, ip, False)
+
+            async def ready():
+                return (await call(ip, port, "GET", "/v1/readiness"))[0] == 200
+
+            took.append(time.monotonic() - began if await until(ready, 60) else 99)
+            await asyncio.sleep(2)
+        print(f"{name:8s} {o.ambits:4d} ambits, {o.cores} loci, {o.items} items: ready after {min(took):.2f} to {max(took):.2f} s, median {statistics.median(took):.2f}", flush=True)
     for p in playing:
         p.cancel()
 
