How far a store is is told with each ask and answer, so that a copy from before is known

Cause: an older disk put back voted beside a core that had heard of its later life by a read alone; counters were told by beats. Change: asks carry their sender's store and counter, as answers do.

--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -221,7 +221,7 @@
     attempt->unanswered.clear();
     for (auto& s : step.send) {
       const Machine m = machine_of(s.to.address);
-      auto bytes = written(kind::ask, Asking{std::move(s.ask), holds_, last_.version > 0 && last_.version == holds_.number});
+      auto bytes = written(kind::ask, Asking{std::move(s.ask), holds_, last_.version > 0 && last_.version == holds_.number, store(), voter_->memory().counter});
       Parcels::send(m, bytes, out);
       attempt->unanswered[s.to.store] = {m, std::move(bytes)};
     }
@@ -450,7 +450,14 @@
   work(now, out);
 }
 
+// Up to where another's store was seen: a copy of it from before can't pass for it. In time: a majority would have to lose it
+// with the power, beside the disk that was put back.
+void Keep::saw(const std::string& store, std::uint64_t counter) {
+  if (const auto change = voter_->saw(store, counter)) put(*change, trove::Trove::lasting::in_time);
+}
+
 void Keep::heard_ask(std::int64_t now, Machine from, const Asking& a, Outbox& out) {
+  saw(a.store, a.counter);
   learn(now, a.holds, out);
   // An ask that comes again is answered as it was: a promise is given once.
   const auto& ask = a.ask;
@@ -486,6 +493,7 @@
 void Keep::heard_answer(std::int64_t now, Machine from, Answering a, Outbox& out) {
   consensus::Reply& r = a.reply;
   if (r.how == verdict::not_me) return;
+  saw(r.store, r.counter);
   if (r.value.version > 0 && r.value.text.empty()) {  // what this core knew as it asked
     if (r.value.version != last_.version || r.value.by != last_.by) return;
     r.value.text = last_.text;
@@ -565,7 +573,7 @@
     if (voter_->standing() == verdict::older && !failed_) become(hex(chance_()));
     else if (returned && voter_->standing() == verdict::yes) put(voter_->lives(), trove::Trove::lasting::synced);
   }
-  if (const auto change = voter_->saw(b.store, b.counter)) put(*change, trove::Trove::lasting::in_time);
+  saw(b.store, b.counter);
   if (b.answer) {
     const auto sent = std::find_if(beats_.begin(), beats_.end(), [&](const auto& x) { return x.first == b.echo; });
     if (b.echo != 0 && sent != beats_.end() && sent->second >= p.contact) p.contact = sent->second, p.number = std::max(b.holds.number, b.accepted), p.votes = b.votes;
--- a/src/locus/keep.h
+++ b/src/locus/keep.h
@@ -136,6 +136,7 @@
   bool put(trove::Trove::Batch batch, trove::Trove::lasting how);
   bool put(const consensus::Change& change, trove::Trove::lasting how);
   void told(const consensus::Voters& voters);
+  void saw(const std::string& store, std::uint64_t counter);
   void cores_changed();
   void become(std::string store);
   std::uint64_t accepted() const;
--- a/src/locus/wire.h
+++ b/src/locus/wire.h
@@ -77,14 +77,16 @@
   consensus::Ask ask;
   Stands holds;
   bool knows_text = false;  // of what it holds: an answer need not bring it again
+  std::string store;        // its sender's, and how far that is
+  std::uint64_t counter = 0;
   template <typename A>
   void serialize(A& a) {
-    a(ask, holds, knows_text);
+    a(ask, holds, knows_text, store, counter);
   }
 };
 
 struct Answering {
-  consensus::Reply reply;
+  consensus::Reply reply;  // its counter is its sender's
   Stands holds;
   template <typename A>
   void serialize(A& a) {
