Leases are told as they are heard, in pieces; news is drawn without a walk over the roll

Need: a core told each other one all leases in one datagram, too long to be taken beyond some 7,400 members, and every piece of news copied and shuffled the whole roll. Change: a core tells what it has heard first-hand, in three successive rounds as some may be lost, 1,000 leases a datagram at the most; what another told is told on only of a machine that this core itself does not hear (the link between two others may be cut). Members ask the cores in turn, not drawn: ten draws in a row of one that is down were enough to lapse. Leases are kept of those in the roll only, until they lapse: at most Roll::most, now 16,000 (docs/CAPACITY.md aims at 12,000). Whom news is told is drawn from two lots, own zone and others, kept as records come: the same numbers, each as likely as before.

--- a/src/rumour/roll.h
+++ b/src/rumour/roll.h
@@ -41,7 +41,7 @@
 
 class Roll {
  public:
-  static constexpr std::size_t most = 10'000;
+  static constexpr std::size_t most = 16'000;  // machines; a further one is turned away
   struct Entry {
     Record record;
     std::int64_t heard = 0;  // when this word came, microseconds
--- a/src/rumour/rumour.cpp
+++ b/src/rumour/rumour.cpp
@@ -9,6 +9,7 @@
 constexpr std::int64_t eager = 100'000, calm = 1'600'000;  // between digests of a node that is not caught up: each time longer
 constexpr std::int64_t heard_lately = 1'600'000;
 constexpr std::size_t most_records = 8;  // in a datagram
+constexpr int lease_told = 3;            // successive rounds in which a core tells of a renewal: some may be lost
 constexpr std::size_t few_items = 8;     // sent without a listing first
 constexpr std::size_t flood = 32;        // news of items within `flood_span`
 constexpr std::int64_t flood_span = 500'000;
@@ -17,7 +18,7 @@
 }  // namespace
 
 Rumour::Rumour(Self self, std::uint64_t life, std::vector<Machine> seeds, creed::Creed& creed, std::uint32_t chance)
-    : self_(std::move(self)), seeds_(std::move(seeds)), creed_(creed), chance_(chance) {
+    : self_(std::move(self)), seeds_(std::move(seeds)), creed_(creed), chance_(chance), next_core_(chance) {
   own_.machine = self_.machine;
   own_.life = life;
   own_.zone = self_.zone;
@@ -35,7 +36,7 @@
   own.cold_ms = cold;
   ++own.word;
   own_ = own;
-  roll_.take(own_, now);
+  take(own_, now);
   pass_on({{}, {own_}, 0}, 0, out);
 }
 
@@ -43,25 +44,26 @@
   for (auto& piece : pieces_of(items)) pass_on({std::move(piece), {}, 0}, 0, out);
 }
 
-// Those of the own zone first, one across; a core tells as many cores beside.
+// Those of the own zone first, one across.
 std::vector<Machine> Rumour::some(std::size_t most, Machine but) {
-  std::vector<Machine> near, far;
-  for (const auto& [m, e] : roll_.entries()) {
-    if (m == self_.machine || m == but || e.record.lapsed || e.record.leaving) continue;
-    (e.record.zone == self_.zone ? near : far).push_back(m);
-  }
-  if (roll_.entries().size() <= 1)
+  std::vector<Machine> near = near_.draw(most, but, chance_), far = far_.draw(most, but, chance_);
+  if (roll_.entries().size() <= 1) {
     for (const Machine m : seeds_)
       if (m != self_.machine) far.push_back(m);
-  std::shuffle(near.begin(), near.end(), chance_);
-  std::shuffle(far.begin(), far.end(), chance_);
-  std::vector<Machine> chosen;
-  while (chosen.size() < most && !(near.empty() && far.empty())) {
-    auto& from = far.empty() || (!near.empty() && chosen.size() + 1 < most) ? near : far;
-    chosen.push_back(from.back());
-    from.pop_back();
+    std::shuffle(far.begin(), far.end(), chance_);
   }
-  return chosen;
+  const std::size_t across = std::min(far.size(), most - std::min(near.size(), most - 1));
+  near.resize(std::min(near.size(), most - across));
+  near.insert(near.end(), far.begin(), far.begin() + std::ptrdiff_t(across));
+  return near;
+}
+
+bool Rumour::take(const Record& r, std::int64_t now) {
+  if (!roll_.take(r, now)) return false;
+  const bool told = r.machine != self_.machine && !r.lapsed && !r.leaving;
+  near_.put(r.machine, told && r.zone == self_.zone);
+  far_.put(r.machine, told && r.zone != self_.zone);
+  return true;
 }
 
 void Rumour::pass_on(News news, Machine but, Outbox& out) {
@@ -82,11 +84,40 @@
   return t;
 }
 
-void Rumour::send_digest(std::int64_t now, Machine to, bool answer, Outbox& out) const {
-  Told t = told(answer);
-  if (self_.core && among(cores_, to))
-    for (const auto& [m, at] : leases_) t.leases.push_back({m, std::uint32_t(std::max<std::int64_t>(0, now - at) / 1000)});
-  out.push_back({to, written(kind::digest, t)});
+void Rumour::send_digest(Machine to, bool answer, Outbox& out) const { out.push_back({to, written(kind::digest, told(answer))}); }
+
+// To the other cores, and what was heard since it was last told; the first piece is a digest like any, the others carry no more.
+void Rumour::send_leases(std::int64_t now, Outbox& out) {
+  std::vector<Lease> due;
+  for (auto& [m, r] : leases_)
+    if (r.tell > 0) {
+      --r.tell;
+      due.push_back({m, std::uint16_t(std::clamp<std::int64_t>((now - r.at) / 1000, 0, 65'535))});
+    }
+  Told t = told(false);
+  for (auto at = due.begin(); !t.answer || at != due.end(); t.answer = true) {
+    const auto end = std::size_t(due.end() - at) > leases_at_once ? at + leases_at_once : due.end();
+    t.leases.assign(at, end);
+    at = end;
+    const std::string bytes = written(kind::digest, t);
+    for (const Machine m : cores_)
+      if (m != self_.machine) out.push_back({m, bytes});
+  }
+}
+
+// What another core told counts as news to be told on only of a machine that this core does not hear: the link between two others may be cut.
+void Rumour::renew(std::int64_t now, Machine m, std::int64_t at, bool first_hand) {
+  if (!roll_.find(m)) return;
+  Renewal& r = leases_[m];
+  const std::int64_t unheard = std::int64_t(cores_.size() + 2) * round;
+  if (first_hand || (now - r.own > unheard && at > r.at + round / 2)) r.tell = lease_told;
+  if (first_hand) r.own = at;
+  r.at = std::max(r.at, at);
+}
+
+void Rumour::cores(std::vector<Machine> known) {
+  cores_ = std::move(known);
+  std::erase_if(cores_heard_, [&](const auto& heard) { return !among(cores_, heard.first); });
 }
 
 // A digest of who says that it lacks something is always answered, and by a core with who is core.
@@ -274,15 +305,12 @@
       if (newer(r, own_)) {
         own_.life = std::max(own_.life, r.life + (r.life > own_.life ? 1 : 0));
         own_.word = std::max(own_.word, r.word) + 1;
-        roll_.take(own_, now);
+        take(own_, now);
         on.records.push_back(own_);
       }
       continue;
     }
-    if (roll_.take(r, now)) {
-      on.records.push_back(r);
-      if (self_.core && !r.lapsed) leases_[r.machine] = now;
-    }
+    if (take(r, now)) on.records.push_back(r);
   }
   if (!on.items.empty() || !on.records.empty()) pass_on(std::move(on), from, out);
 }
@@ -290,13 +318,10 @@
 void Rumour::heard_told(std::int64_t now, Machine from, const Told& theirs, Outbox& out) {
   if (theirs.whole && among(unmet_, from)) unmet_.clear();
   if (self_.core) {
-    leases_[from] = now;
+    renew(now, from, now, true);
     if (among(cores_, from)) {
       cores_heard_[from] = now;
-      for (const Lease& l : theirs.leases) {
-        auto& at = leases_.try_emplace(l.machine, 0).first->second;
-        at = std::max(at, now - std::int64_t(l.age_ms) * 1000);
-      }
+      for (const Lease& l : theirs.leases) renew(now, l.machine, now - std::int64_t(l.age_ms) * 1000, false);
     }
   } else {
     if (!theirs.cores.empty() && theirs.whole) cores_ = theirs.cores;
@@ -308,7 +333,7 @@
   caught_up_ = caught_up_ || (same && theirs.core && theirs.whole);
   if (!same || theirs.records != roll_.digest()) send_gaps(now, from, theirs, out);
   // Whose items differ sends its own back, too; who begins learns by the answer that it has all, who is behind how far others let go.
-  if (!theirs.answer && !(self_.core && theirs.core) && (!same || !theirs.whole || theirs.floor < creed_.floor())) send_digest(now, from, true, out);
+  if (!theirs.answer && (!theirs.whole || (!(self_.core && theirs.core) && (!same || theirs.floor < creed_.floor())))) send_digest(from, true, out);
 }
 
 void Rumour::heard(std::int64_t now, Machine from, std::string_view datagram, Outbox& out) {
@@ -321,10 +346,10 @@
   }
 }
 
-void Rumour::leapt(std::int64_t now, Outbox& out) {
+void Rumour::leapt(std::int64_t, Outbox& out) {
   with_majority_ = 0;
   for (const Machine m : cores_)
-    if (m != self_.machine) send_digest(now, m, false, out);
+    if (m != self_.machine) send_digest(m, false, out);
 }
 
 void Rumour::tick(std::int64_t now, Outbox& out) {
@@ -335,18 +360,19 @@
   eager_ = hurried ? std::min(calm, std::max(eager, 2 * eager_)) : 0;
   next_ = now + (hurried ? eager_ : round) * about(chance_) / 10;
   std::vector<Machine> to;
-  if (self_.core || hurried) {
+  if (hurried) {
     to = cores_;
-    if (hurried) to.insert(to.end(), seeds_.begin(), seeds_.end());
-  } else if (!cores_.empty()) {
-    to.push_back(cores_[std::size_t(chance_()) % cores_.size()]);
+    to.insert(to.end(), seeds_.begin(), seeds_.end());
+  } else {
+    if (self_.core) send_leases(now, out);
+    else if (!cores_.empty()) to.push_back(cores_[next_core_++ % cores_.size()]);
+    for (const Machine m : some(1, 0))
+      if (!self_.core || !among(cores_, m)) to.push_back(m);
   }
-  if (!hurried)
-    for (const Machine m : some(1, 0)) to.push_back(m);
   std::sort(to.begin(), to.end());
   to.erase(std::unique(to.begin(), to.end()), to.end());
   for (const Machine m : to)
-    if (m != self_.machine && !among(unmet_, m)) send_digest(now, m, false, out);
+    if (m != self_.machine && !among(unmet_, m)) send_digest(m, false, out);
   for (const Machine m : unmet_) ask(m, out);
   if (self_.core) sweep(now, out);
 }
@@ -364,14 +390,15 @@
   if (now - with_majority_ < lease_term) return;
   std::vector<Record> lapsed;
   for (const auto& [m, e] : roll_.entries()) {
+    if (e.record.lapsed) leases_.erase(m);
     if (m == self_.machine || e.record.lapsed) continue;
     const auto lease = leases_.find(m);
-    if (now - std::max(e.heard, lease == leases_.end() ? 0 : lease->second) < lease_term) continue;
+    if (now - std::max(e.heard, lease == leases_.end() ? 0 : lease->second.at) < lease_term) continue;
     lapsed.push_back(e.record);
     lapsed.back().lapsed = true;
   }
   for (const Record& r : lapsed) {
-    roll_.take(r, now);
+    take(r, now);
     pass_on({{}, {r}, 0}, 0, out);
   }
 }
--- a/src/rumour/rumour.h
+++ b/src/rumour/rumour.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "../creed/creed.h"
+#include "lot.h"
 #include "roll.h"
 #include "wire.h"
 
@@ -50,7 +51,7 @@
 
   const Roll& roll() const { return roll_; }
   const std::vector<Machine>& cores() const { return cores_; }
-  void cores(std::vector<Machine> known) { cores_ = std::move(known); }
+  void cores(std::vector<Machine> known);
   void whole(bool is) { whole_ = is; }
   // A node that begins holds enough once it has agreed with one core that says that it is whole, so has proved contact with a
   // majority; a member's word is not enough. What was caught up stays so.
@@ -60,7 +61,8 @@
 
  private:
   Told told(bool answer) const;
-  void send_digest(std::int64_t now, Machine to, bool answer, Outbox& out) const;
+  void send_digest(Machine to, bool answer, Outbox& out) const;
+  void send_leases(std::int64_t now, Outbox& out);
   void ask(Machine to, Outbox& out) const;
   void send_gaps(std::int64_t now, Machine to, const Told& theirs, Outbox& out) const;
   void send_listing(Machine to, const Scope& of, bool answer, Outbox& out) const;
@@ -73,7 +75,9 @@
   creed::Digest digest_without_dropped(std::uint64_t floor) const;
   void pass_on(News news, Machine but, Outbox& out);
   std::vector<Machine> some(std::size_t most, Machine but);
+  bool take(const Record& r, std::int64_t now);
   void sweep(std::int64_t now, Outbox& out);
+  void renew(std::int64_t now, Machine m, std::int64_t at, bool first_hand);
 
   Self self_;
   Record own_;
@@ -81,14 +85,20 @@
   std::vector<Machine> unmet_;  // seeds told of since the start, none of which has answered with a whole copy
   creed::Creed& creed_;
   Roll roll_;
+  Lot near_, far_;  // those that are told: of the own zone, of others
   std::mt19937 chance_;
   std::int64_t next_ = 0, eager_ = 0;
+  std::size_t next_core_;  // an ambit asks them in turn: no core that is up goes unasked for longer than it takes to ask all
   bool whole_ = false, caught_up_ = false;
   std::uint64_t floor_told_ = 0;  // the highest that anyone told of; not kept by a core, which others settle for
   std::int64_t flood_from_ = 0, flood_until_ = 0;  // items come in by the hundred
   std::size_t flood_count_ = 0;
-  std::map<Machine, std::int64_t> leases_;      // at a core: when each was last heard, by anyone
-  std::map<Machine, std::int64_t> cores_heard_;  // when
+  struct Renewal {
+    std::int64_t at = 0, own = 0;  // last heard by any core, and by this one
+    int tell = 0;                  // in so many rounds more
+  };
+  std::map<Machine, Renewal> leases_;            // at a core, of those in the roll: as many at the most
+  std::map<Machine, std::int64_t> cores_heard_;  // when, of `cores_`
   std::int64_t with_majority_ = 0;               // since when, at a core; 0: not now
 };
 
--- a/src/rumour/wire.h
+++ b/src/rumour/wire.h
@@ -66,7 +66,7 @@
 
 struct Lease {  // a member's, as a core has heard it
   Machine machine = 0;
-  std::uint32_t age_ms = 0;
+  std::uint16_t age_ms = 0;  // 65,535: so old or older
   template <typename A>
   void serialize(A& a) {
     a(machine, age_ms);
@@ -78,7 +78,7 @@
   bool whole = false;   // its sender holds all that a majority of the core does
   creed::Digest items{}, records{};
   std::vector<Machine> cores;
-  std::vector<Lease> leases;  // of cores only
+  std::vector<Lease> leases;  // of cores, to cores
   bool core = false;          // its sender is a core machine
   std::uint64_t floor = 0;    // of its sender's copy: dropped names are gone from it up to there
   template <typename A>
@@ -176,6 +176,7 @@
 constexpr std::size_t full_datagram = 1'200;      // no further item is put into one that holds so much
 // Where items come by the hundred each datagram is dear (a wake-up, a call, a sync at a core): fewer and larger ones.
 constexpr std::size_t bulk_datagram = 12'000, bulk = 16 * full_datagram;
+constexpr std::size_t leases_at_once = 1'000;     // in a digest of a core: 6 bytes each
 constexpr std::size_t listed_at_once = 1'000;     // records, and items, in a listing: 17 and 24 bytes each
 
 template <typename T>
--- a/tests/mesh/rumour_test.cpp
+++ b/tests/mesh/rumour_test.cpp
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <functional>
 
 #include "../../src/rumour/rumour.h"
@@ -149,6 +150,78 @@
         if (const creed::Item* own = n.creed->find(name); !own || own->at < i.at) fault("below its floor, and not held", name);
   }
 };
+
+rumour::Record record_of(Machine m, const std::string& zone = "z") {
+  rumour::Record r;
+  r.machine = m, r.life = r.word = 1, r.zone = zone;
+  return r;
+}
+
+// Real cores with thousands of members that only send their digest each half second, to the cores in turn.
+struct Leases {
+  Leases(int members, int cores, std::uint32_t seed) : net(seed), silent(std::size_t(members)), bound(silent) {
+    std::vector<Machine> all;
+    for (int i = 0; i < cores; ++i) all.push_back(core(i));
+    rumour::Outbox out;
+    for (const Machine m : all) {
+      auto& r = cores_[m] = std::make_unique<rumour::Rumour>(rumour::Self{m, "z", true}, 1, all, creed, m);
+      r->state(0, {}, out);
+      rumour::News news;
+      for (int i = 0; i < members; ++i)
+        if (news.records.push_back(record_of(ambit(i))); news.records.size() == 100 || i + 1 == members)
+          r->heard(0, 1, rumour::written(rumour::kind::news, std::exchange(news, {})), out);
+      net.heard[m] = [this, m](Machine from, std::string_view bytes) { act(m, [&](rumour::Outbox& o) { cores_.at(m)->heard(net.now, from, bytes, o); }); };
+    }
+  }
+  void run(std::int64_t span) {
+    for (const std::int64_t until = net.now + span; net.now < until;) {
+      net.run(net.now + 50'000);
+      for (auto& [m, r] : cores_)
+        if (net.heard.contains(m)) act(m, [&](rumour::Outbox& o) { r->tick(net.now, o); });
+      const auto step = std::size_t(net.now / 50'000);
+      std::vector<std::string> bytes;
+      for (auto& [m, r] : cores_) bytes.push_back(rumour::written(rumour::kind::digest, rumour::Told{false, true, creed.digest(), r->roll().digest(), {}, {}, false, 0}));
+      for (std::size_t i = step % 10; i < silent.size(); i += 10)
+        if (const std::size_t turn = (i / 10 + step / 10) % bytes.size(); !silent[i] && (!bound[i] || turn == 0)) {
+          const double loss = std::exchange(net.loss, bound[i] ? 0 : net.loss);  // theirs all come: what cores tell of them may be lost
+          net.send(ambit(int(i)), core(int(turn)), bytes[turn]);
+          net.loss = loss;
+        }
+    }
+  }
+  std::size_t lapsed(Machine at) const {
+    std::size_t count = 0;
+    for (const auto& [m, e] : cores_.at(at)->roll().entries()) count += m >= ambit(0) && e.record.lapsed;
+    return count;
+  }
+  std::size_t lapsed() const {
+    std::size_t count = 0;
+    for (const auto& [m, r] : cores_)
+      if (net.heard.contains(m)) count += lapsed(m);
+    return count;
+  }
+  span::Net net;
+  std::vector<bool> silent, bound;  // by member; to the first core
+  std::size_t longest = 0, most_leases = 0, strangers = 0, leases_told = 0;
+
+ private:
+  template <typename F>
+  void act(Machine m, const F& f) {
+    rumour::Outbox out;
+    f(out);
+    for (const auto& d : out) {
+      longest = std::max(longest, d.bytes.size());
+      if (rumour::kind_of(d.bytes) == rumour::kind::digest)
+        if (const auto t = rumour::read<rumour::Told>(d.bytes)) {
+          most_leases = std::max(most_leases, t->leases.size());
+          for (const auto& l : t->leases) strangers += !cores_.at(m)->roll().find(l.machine), leases_told += l.machine >= ambit(0);
+        }
+      net.send(m, d.to, d.bytes);
+    }
+  }
+  creed::Creed creed;
+  std::map<Machine, std::unique_ptr<rumour::Rumour>> cores_;
+};
 }  // namespace
 
 TEST_GROUP(Rumour){};
@@ -158,10 +231,8 @@
   held.take({"c/a", 1, false, "{}", 1}), others.take({"c/a", 2, false, "{}", 4}), others.take({"c/b", 1, false, "{}", 5});
   rumour::Rumour r({core(0), "z", true}, 1, {core(0), core(1)}, held, 7);
   r.whole(true);
-  rumour::Record record;
-  record.machine = ambit(0), record.life = record.word = 1;
   rumour::Outbox out;
-  r.heard(0, ambit(0), rumour::written(rumour::kind::news, rumour::News{{*others.find("c/a"), *others.find("c/b")}, {record}, 0}), out);
+  r.heard(0, ambit(0), rumour::written(rumour::kind::news, rumour::News{{*others.find("c/a"), *others.find("c/b")}, {record_of(ambit(0))}, 0}), out);
   CHECK(held.find("c/a")->at == 1 && !held.find("c/b"));
   CHECK(r.roll().find(ambit(0)));
   out.clear();
@@ -352,6 +423,104 @@
   for (const auto& f : t.faults) FAIL(f.c_str());
 }
 
+TEST(Rumour, of_6000_members_none_lapses_while_a_twentieth_is_lost_and_none_stays_that_is_silent) {
+  for (const auto& [members, cores] : {std::pair(6'000, 3), std::pair(1'200, 7)}) {
+    Leases l(members, cores, 6);
+    l.net.loss = 0.05;
+    for (std::size_t i = 0; i < 300; ++i) l.bound[i] = true;  // heard by one core alone, in its turn: the others are told
+    l.run(9 * second);
+    CHECK_EQUAL(0, l.lapsed());
+    l.net.cut = {{core(0), core(1)}, {core(1), core(0)}};  // and one of those by a third only
+    l.run(6 * second);
+    CHECK_EQUAL(0, l.lapsed());
+    l.net.cut.clear();
+    l.net.heard.erase(core(2));  // one is down, and is told in its turn all the same
+    l.run(6 * second);
+    CHECK_EQUAL(0, l.lapsed());
+    for (std::size_t i = 0; i < 50; ++i) l.silent[300 + 10 * i] = true;
+    l.net.send(9'999, core(0), rumour::written(rumour::kind::digest, rumour::Told()));  // whose record nobody has
+    l.run(rumour::Rumour::lease_term - 2 * second);
+    CHECK_EQUAL(0, l.lapsed());
+    l.run(2 * second + 4 * rumour::Rumour::round);
+    for (int i = 0; i < 2; ++i) CHECK_EQUAL(50, l.lapsed(core(i)));
+    CHECK(l.longest < 20'000 && l.longest < rumour::longest_datagram && l.most_leases <= rumour::leases_at_once);
+    CHECK_EQUAL(0, l.strangers);
+    l.silent.assign(l.silent.size(), true);
+    l.run(8 * rumour::Rumour::round);
+    l.leases_told = 0;
+    l.run(2 * rumour::Rumour::round);
+    CHECK_EQUAL(0, l.leases_told);  // each was told of in a few rounds, and no more
+  }
+}
+
+TEST(Rumour, a_member_renews_its_lease_at_each_core_in_turn) {
+  creed::Creed c;
+  rumour::Rumour r({ambit(0), "z", false}, 1, {core(0), core(1), core(2), core(3)}, c, 7);
+  rumour::Outbox out;
+  r.heard(0, core(0), rumour::written(rumour::kind::digest, rumour::Told{true, true, c.digest(), r.roll().digest(), {}, {}, true, 0}), out);
+  std::map<Machine, std::int64_t> asked;
+  for (std::int64_t now = 0; now < 60 * second; now += 100'000) {
+    r.tick(now, out);
+    for (const auto& d : std::exchange(out, {})) asked[d.to] = now;
+    for (const auto& [m, at] : asked) CHECK(now - at <= 4 * (rumour::Rumour::round * 11 / 10 + 100'000));
+  }
+  CHECK_EQUAL(4, asked.size());
+}
+
+TEST(Rumour, whoever_draws_from_a_lot_draws_each_alike_and_never_the_one_left_out) {
+  rumour::Lot lot;
+  for (Machine m = 0; m < 30; ++m) lot.put(m, true), lot.put(m, true);
+  for (Machine m = 0; m < 30; m += 3) lot.put(m, false), lot.put(m, false);
+  CHECK_EQUAL(20, lot.size());
+  std::mt19937 chance(1);
+  std::map<Machine, int> drawn;
+  for (int i = 0; i < 40'000; ++i) {
+    const auto of = lot.draw(3, 7, chance);
+    CHECK_EQUAL(3, std::set<Machine>(of.begin(), of.end()).size());
+    for (const Machine m : of) ++drawn[m];
+  }
+  CHECK_EQUAL(19, drawn.size());
+  for (const auto& [m, n] : drawn) CHECK(m % 3 != 0 && m != 7 && std::abs(n - 120'000 / 19) < 400);
+  CHECK_EQUAL(19, lot.draw(99, 7, chance).size());
+}
+
+TEST(Rumour, news_goes_to_two_of_the_own_zone_and_one_across_and_to_nobody_who_has_lapsed_or_leaves) {
+  creed::Creed c;
+  rumour::Rumour r({ambit(0), "z", false}, 1, {core(0)}, c, 7);
+  rumour::Outbox out;
+  const auto hears = [&](rumour::Record record) { r.heard(0, core(0), rumour::written(rumour::kind::news, rumour::News{{}, {std::move(record)}, 0}), out); };
+  for (int i = 1; i <= 20; ++i) hears(record_of(ambit(i), i <= 10 ? "z" : "y"));
+  for (const int i : {1, 11}) {
+    rumour::Record gone = record_of(ambit(i), i == 1 ? "z" : "y");
+    gone.word = 2, gone.lapsed = i == 1, gone.leaving = i == 11;
+    hears(gone);
+  }
+  std::map<Machine, int> told;
+  const auto tells = [&] {
+    r.spread({{"c/a", 1, false, "{}", 1}}, out = {});
+    std::size_t near = 0;
+    for (const auto& d : out) ++told[d.to], near += d.to <= ambit(10);
+    return std::make_pair(near, out.size() - near);
+  };
+  for (int i = 0; i < 9'000; ++i) CHECK(tells() == std::make_pair(std::size_t(2), std::size_t(1)));
+  CHECK_EQUAL(18, told.size());
+  for (const auto& [m, n] : told) CHECK(m != ambit(1) && m != ambit(11) && std::abs(n - (m <= ambit(10) ? 2'000 : 1'000)) < 150);
+  for (int i = 12; i <= 20; ++i) {
+    rumour::Record moved = record_of(ambit(i), "z");
+    moved.word = 2;
+    hears(moved);
+  }
+  r.spread({{"c/a", 1, false, "{}", 1}}, out = {});
+  CHECK_EQUAL(3, out.size());  // all of the own zone now
+  for (int i = 2; i <= 20; ++i) {
+    rumour::Record gone = record_of(ambit(i), "z");
+    gone.word = 3, gone.leaving = true;
+    if (i != 4) hears(gone);
+  }
+  r.spread({{"c/a", 1, false, "{}", 1}}, out = {});
+  CHECK(out.size() == 1 && out[0].to == ambit(4));
+}
+
 // Whatever is drawn: nothing let go of comes back to a node that has lost it, nor to one whose floor is above it; all agree in the end.
 TEST(Rumour, floors_and_items_agree_after_drawn_changes_cuts_deaths_and_stale_cores) {
   for (std::uint32_t seed = 1000; seed < 1100; ++seed) {
