--- a/src/mesh/role.cpp
+++ b/src/mesh/role.cpp
@@ -19,7 +19,7 @@
 log::level level_of(chronicle::event e) {
   using chronicle::event;
   return e == event::disk_failed || e == event::settings_faulty ? log::level::error
-         : e == event::leapt || e == event::order_unsettled || e == event::copy_lacks ? log::level::warning
+         : e == event::leapt || e == event::order_unsettled || e == event::copy_lacks || e == event::disk_set_aside ? log::level::warning
                                                                                       : log::level::info;
 }
 
@@ -70,7 +70,10 @@
 }
 
 void Role::send(const rumour::Outbox& out) {
-  for (const auto& d : out) span_->send(d.to, d.bytes);
+  const rumour::Machine self = span::machine_of(settings.ip);
+  for (const auto& d : out)
+    if (d.to == self) asio::post(io_, [this, self, bytes = d.bytes] { heard(self, bytes); });  // once the others' are on their way
+    else span_->send(d.to, d.bytes);
 }
 
 void Role::leave(int code) {
