--- a/src/locus/disk.cpp
+++ b/src/locus/disk.cpp
@@ -37,7 +37,7 @@
 
 trove::result<Kept> kept(const std::vector<trove::Trove::Pair>& held) {
   Kept k;
-  const auto damaged = [](const std::string& name) { return boost::leaf::new_error(trove::Trouble{"read", name, "can't be read"}); };
+  const auto damaged = [](const std::string& name) { return boost::leaf::new_error(trove::Trouble{"damage", name, "can't be read"}); };
   for (const auto& [name, text] : held) {
     if (name == own_name) {
       Own own;
--- a/src/locus/disk.h
+++ b/src/locus/disk.h
@@ -37,7 +37,7 @@
   std::vector<creed::Item> items;
 };
 
-// Errors: a record can't be read, or there are some without the one that says whose they are.
+// Errors: "damage": a record can't be read, or there are some without the one that says whose they are.
 trove::result<Kept> kept(const std::vector<trove::Trove::Pair>& held);
 
 std::string packed(const std::vector<creed::Item>& items);
