--- a/tests/mesh/fleet.h
+++ b/tests/mesh/fleet.h
@@ -1,7 +1,8 @@
 // Whole fleets of the mesh's state logic in memory, under one seed, told the time: rumours and core over the in-memory
-// span and trove, machines that are killed, lose their disks, are cut off and come back.
+// span and trove, machines that are killed, lose their disks, are cut off and come back. Programs that measure derive from it.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,6 +23,7 @@
     bool core = false;
     std::string zone;
     std::uint64_t life = 0;
+    std::int64_t ticked = 0;
     // One life's:
     std::unique_ptr<span::Memory> span;
     std::unique_ptr<creed::Creed> creed;
@@ -29,9 +31,12 @@
     std::unique_ptr<trove::Memory> trove;
     std::unique_ptr<locus::Keep> keep;
     rumour::Record record;
+    bool frozen = false;
+    std::vector<std::pair<Machine, std::string>> waiting;
     // Beyond it:
     std::shared_ptr<trove::Memory::Disk> disk = std::make_shared<trove::Memory::Disk>();
-    std::map<std::string, std::uint64_t> seen;  // of this life: versions never go back
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> seen;  // of this life: numbers and versions never go back
+    std::uint64_t looked = 0;
     bool up() const { return span != nullptr; }
   };
 
@@ -40,6 +45,7 @@
     for (int i = 0; i < ambits; ++i) add(ambit(i), false, i);
     for (auto& [m, n] : nodes) start(m, true);
   }
+  virtual ~Fleet() = default;
   static Machine core(int i) { return 100 + Machine(i); }
   static Machine ambit(int i) { return 1000 + Machine(i); }
 
@@ -52,23 +58,22 @@
     n.rumour = std::make_unique<rumour::Rumour>(rumour::Self{m, n.zone, n.core}, ++n.life, seeds, *n.creed, chance());
     n.span = std::make_unique<span::Memory>(net, m);
     n.span->listen([this, m](Machine from, std::string_view bytes) { heard(m, from, bytes); });
-    n.seen.clear();
+    n.seen.clear(), n.looked = 0;
     if (n.core) {
       n.trove = std::make_unique<trove::Memory>(n.disk);
       n.keep = std::make_unique<locus::Keep>(m, *n.creed, *n.rumour, *n.trove, (std::uint64_t(chance()) << 32) | chance());
       std::vector<Machine> founders;
       for (const auto& [c, x] : nodes)
         if (x.core) founders.push_back(c);
-      const std::string why = trouble_of<void>([&] { return n.keep->begin(first, founders); });
+      const std::string why = trouble_of<void>([&] { return n.keep->begin(net.now, first, founders); });
       if (!why.empty()) faults.push_back(why);
     }
-    rumour::Outbox out;
-    n.rumour->state(net.now, n.record, out);
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) { n.rumour->state(net.now, n.record, out); });
   }
   void kill(Machine m) {
     Node& n = nodes.at(m);
     n.keep.reset(), n.trove.reset(), n.rumour.reset(), n.creed.reset(), n.span.reset();
+    n.frozen = false, n.waiting.clear();
   }
   void wipe(Machine m) { nodes.at(m).disk = std::make_shared<trove::Memory::Disk>(); }
   void cut(Machine a, Machine b) { net.cut.insert({a, b}), net.cut.insert({b, a}); }
@@ -77,17 +82,21 @@
       if (o != m) cut(m, o);
   }
   void join() { net.cut.clear(); }
+  // A process that stands still: what comes waits in its sockets until it wakes, and then comes before its clocks are looked at.
+  void freeze(Machine m) { nodes.at(m).frozen = true; }
+  void thaw(Machine m) {
+    Node& n = nodes.at(m);
+    n.frozen = false;
+    for (auto& [from, bytes] : std::exchange(n.waiting, {})) heard(m, from, bytes);
+  }
 
   void run(std::int64_t span) {
     for (const std::int64_t until = net.now + span; net.now < until;) {
-      net.run(std::min(until, net.now + 50'000));
+      net.run(std::min(until, net.now + 10'000));
       for (auto& [m, n] : nodes) {
-        if (!n.up()) continue;
-        rumour::Outbox out;
-        n.rumour->tick(net.now, out);
-        if (n.keep) n.keep->tick(net.now, out);
-        send(m, out);
-        look(n);
+        if (!n.up() || n.frozen) continue;
+        const bool ticks = net.now >= n.ticked + 50'000;
+        if (ticks || (n.keep && n.keep->wake() <= net.now)) tick(m, n, ticks);
       }
     }
   }
@@ -97,15 +106,13 @@
     auto outcome = std::make_shared<std::optional<locus::Outcome>>();
     Node& n = nodes.at(m);
     if (!n.up()) return outcome;
-    rumour::Outbox out;
-    n.keep->order(net.now, {what, text}, [outcome](locus::Outcome o) { *outcome = std::move(o); }, out);
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) { n.keep->order(net.now, {what, text}, [outcome](locus::Outcome o) { *outcome = std::move(o); }, out); });
     return outcome;
   }
   // The same, until it is settled; 0 for an answer that never came.
   int settled(Machine m, locus::Order::what what, const std::string& text = {}, std::string* body = nullptr) {
     const auto o = order(m, what, text);
-    for (int i = 0; i < 40 && !*o; ++i) run(50'000);
+    for (int i = 0; i < 200 && !*o; ++i) run(10'000);
     if (body && *o) *body = (*o)->body;
     return *o ? (*o)->status : 0;
   }
@@ -116,12 +123,15 @@
         if (const creed::Item* i = n.creed->find(name); i && i->version >= version) ++count;
     return count;
   }
+  void add(Machine m, bool is_core, int i) {
+    Node& n = nodes[m];
+    n.core = is_core;
+    n.zone = std::string("zone-") + char('a' + i % 3);
+  }
   void state(Machine m, rumour::Record r) {
     Node& n = nodes.at(m);
     n.record = r;
-    rumour::Outbox out;
-    n.rumour->state(net.now, r, out);
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) { n.rumour->state(net.now, r, out); });
   }
 
   span::Net net;
@@ -129,34 +139,47 @@
   std::mt19937 chance;
   std::vector<std::string> faults;  // what may never be
 
- private:
-  void add(Machine m, bool is_core, int i) {
-    Node& n = nodes[m];
-    n.core = is_core;
-    n.zone = std::string("zone-") + char('a' + i % 3);
+ protected:
+  // Each call into a node's own code, and what it wants sent: who measures stands around it.
+  virtual void called(Machine m, Node& n, const std::function<void(rumour::Outbox&)>& call) {
+    (void)n;
+    rumour::Outbox out;
+    call(out);
+    send(m, out);
   }
-  void heard(Machine m, Machine from, std::string_view bytes) {
+  virtual void heard(Machine m, Machine from, std::string_view bytes) {
     Node& n = nodes.at(m);
-    rumour::Outbox out;
-    const auto k = rumour::kind_of(bytes);
-    if (k == rumour::kind::news || k == rumour::kind::digest || k == rumour::kind::listing) {
-      n.rumour->heard(net.now, from, bytes, out);
-      if (n.keep) n.keep->keep(n.rumour->fresh());
-    } else if (n.keep) {
-      n.keep->heard(net.now, from, bytes, out);
+    if (n.frozen) {
+      n.waiting.emplace_back(from, bytes);
+      return;
     }
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) {
+      if (!locus::among_cores(bytes)) {
+        if (n.keep) n.rumour->whole(n.keep->fresh(net.now));
+        n.rumour->heard(net.now, from, bytes, out);
+      } else if (n.keep) {
+        n.keep->heard(net.now, from, bytes, out);
+      }
+    });
+    look(n);
+  }
+  void tick(Machine m, Node& n, bool rumours) {
+    called(m, n, [&](rumour::Outbox& out) {
+      if (n.keep) n.keep->tick(net.now, out);
+      if (rumours) n.rumour->tick(net.now, out), n.ticked = net.now;
+    });
     look(n);
   }
   void send(Machine m, const rumour::Outbox& out) {
     for (const auto& d : out) nodes.at(m).span->send(d.to, d.bytes);
   }
-  void look(Node& n) {
-    if (!n.rumour->caught_up() && !n.core) return;
+  virtual void look(Node& n) {
+    if ((!n.rumour->caught_up() && !n.core) || n.creed->changes() == n.looked) return;
+    n.looked = n.creed->changes();
     for (const auto& [name, item] : n.creed->items()) {
-      auto& v = n.seen[name];
-      if (item.version < v) faults.push_back("a version went back: " + name);
-      v = item.version;
+      auto& [at, version] = n.seen[name];
+      if (item.at < at || (item.version < version && n.creed->floor() < at)) faults.push_back("a version went back: " + name);
+      at = item.at, version = item.version;
     }
   }
 };
