--- a/bench/mesh_size.cpp
+++ b/bench/mesh_size.cpp
@@ -449,17 +449,19 @@
     for (const Machine m : gone) f.nodes.at(m).record = {}, f.start(m);
     f.run(300'000);
     for (const Machine m : gone) f.state(m, Sized::record_of(int(m - Fleet::ambit(0))));
-    std::int64_t caught = 0, alike = 0;
-    while (alike == 0 && f.net.now - begun < 40 * second) {
+    double caught = -1, alike = -1;
+    int behind = 0, unlike = 0;
+    while (alike < 0 && f.net.now - begun < 40 * second) {
       a_second();
-      bool all = true, same = true;
+      behind = unlike = 0;
       const auto& like = f.nodes.at(Fleet::core(0)).rumour->roll().digest();
-      for (const auto& [m, node] : f.nodes) all &= node.core || node.rumour->caught_up(), same &= node.rumour->roll().digest() == like;
-      if (all && caught == 0) caught = f.net.now - begun;
-      if (same) alike = f.net.now - begun;
+      for (const auto& [m, node] : f.nodes) behind += !node.core && !node.rumour->caught_up(), unlike += node.rumour->roll().digest() != like;
+      if (behind == 0 && caught < 0) caught = double(f.net.now - begun) / 1e6;
+      if (unlike == 0) alike = double(f.net.now - begun) / 1e6;
     }
     const double seconds = 7 + double(f.net.now - begun) / 1e6;
-    std::printf("zone      %6d %zu gone, %zu marked lapsed; back: all caught up within %.1f s, all rolls alike within %.1f s\n", n, gone.size(), lapsed, double(caught) / 1e6, double(alike) / 1e6);
+    std::printf("zone      %6d %zu gone, %zu marked lapsed; back: all caught up within %.1f s, all rolls alike within %.1f s (-1: not within 40; then %d not caught up, %d rolls unlike core 0's)\n", n,
+                gone.size(), lapsed, caught, alike, behind, unlike);
     for (const Group& g : groups) {
       const Cost x = cost(f, g.core, before, g.of, g.but);
       const Cost& i = idle_cost[g.core];
