--- a/bench/mesh_size.cpp
+++ b/bench/mesh_size.cpp
@@ -157,17 +157,20 @@
 
   // All of them know all of it, as after hours of running: what a node hears it would have heard.
   void fill(int items) {
+    // The core settles them itself: rumours bring it none.
+    muted_ = false;
+    run(2 * second);
+    if (settled(core(0), What::adjust, mesh_test::first_call(hex(1), std::max(1, items - 3))) != 200) faults.push_back("the items are not taken");
     std::vector<creed::Item> all;
-    const creed::Change change = creed::read_change(mesh_test::first_call(hex(1), std::max(1, items - 3)), *nodes.at(core(0)).creed);
+    for (const auto& [name, item] : nodes.at(core(0)).creed->items()) all.push_back(item);
     std::vector<std::string> bytes;
-    for (auto& piece : rumour::pieces_of(change.items)) bytes.push_back(rumour::written(rumour::kind::news, rumour::News{std::move(piece), {}}));
+    for (auto& piece : rumour::pieces_of(std::move(all))) bytes.push_back(rumour::written(rumour::kind::news, rumour::News{std::move(piece), {}}));
     for (std::size_t i = 0; i < records_.size(); i += 200)
       bytes.push_back(rumour::written(rumour::kind::news, rumour::News{{}, {records_.begin() + std::ptrdiff_t(i), records_.begin() + std::ptrdiff_t(std::min(i + 200, records_.size()))}}));
     for (auto& [m, n] : nodes) {
       rumour::Outbox out;
       for (const auto& b : bytes) {
         n.rumour->heard(net.now, core(0) == m ? core(1) : core(0), b, out);
-        if (n.keep) n.keep->keep(n.rumour->fresh());
         out.clear();
       }
     }
@@ -180,7 +183,7 @@
       next_step_ += 100'000 / std::int64_t(slots_.size());
       ++step_;
       for (const Machine m : slots_[step_ % slots_.size()])
-        if (Node& n = nodes.at(m); n.up()) tick(m, n);
+        if (Node& n = nodes.at(m); n.up()) tick(m, n, true);
       if (!ghosts_.empty()) ghosts();
     }
   }
@@ -515,7 +518,7 @@
     f.run(second);
     const Meter before = f.meters[m];
     f.start(m);
-    const auto took = f.until([&] { return f.nodes.at(m).keep->whole(); }, 30 * second);
+    const auto took = f.until([&] { return f.nodes.at(m).keep->fresh(f.net.now); }, 30 * second);
     const Meter& t = f.meters[m];
     std::printf("empty     %6d items: a whole copy after %.0f ms, %.0f bytes and %llu datagrams in, processor %.1f ms, longest %zu\n", items, double(took) / 1000, double(t.got_bytes - before.got_bytes),
                 (unsigned long long)(t.got - before.got), double(t.cpu - before.cpu) / 1e6, t.longest);
--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -131,7 +131,7 @@
 void Keep::cores_changed() {
   std::set<Machine> cores;
   for (const Seat& s : voters().all()) cores.insert(machine_of(s.address));
-  if (!cores.empty()) rumour_.cores({cores.begin(), cores.end()});
+  if (!cores.empty()) rumour_.cores({cores.begin(), cores.end()}, voters().version);
 }
 
 // Of an older or copied disk: what it holds was settled once, but it is no copy that others may count on.
--- a/src/mesh/locus.cpp
+++ b/src/mesh/locus.cpp
@@ -23,6 +23,7 @@
 using chronicle::event;
 
 constexpr codec::Limits call_limits = {16 * 1024, 16 * 1024 * 1024};
+constexpr std::int64_t late = 150'000;  // microseconds past its time that an outcome may reach its caller
 
 class Locus : public Role {
  public:
@@ -79,6 +80,7 @@
     };
     const auto wait = std::make_shared<Wait>(io_);
     const auto is = what.is;
+    const std::int64_t begun = now();
     rumour::Outbox out;
     keep_.order(
         now(), std::move(what),
@@ -99,7 +101,9 @@
     else if (is == locus::Order::what::adjust) chronicle_.append(event::change_taken, now());
     else if (is == locus::Order::what::begin) chronicle_.append(event::zone_emptied, now());
     else if (is == locus::Order::what::finish) chronicle_.append(event::zone_back, now());
-    co_return port::Reply{status, std::move(wait->outcome->body), {}};
+    // What was read, or refused, by then says nothing of now where this process stood still since. That a change was taken stays true.
+    const bool ages = status != 200 || is == locus::Order::what::read;
+    co_return port::Reply{status, std::move(wait->outcome->body), {}, ages ? begun + locus::Keep::patience + late : 0};
   }
 
   void heard(rumour::Machine from, std::string_view datagram) override {
--- a/src/port/port.cpp
+++ b/src/port/port.cpp
@@ -83,6 +83,9 @@
       r.status = got == codec::reading::body_too_long ? 413 : got == codec::reading::head_too_long ? 431 : 400;
       r.body = R"({"fault":"the request can't be read"})";
     }
+    // As late as can be: this process may stand still at any line, and there is none between this and the writing.
+    if (const auto at = std::chrono::duration_cast<std::chrono::microseconds>(node::steady::now().time_since_epoch()).count(); r.until > 0 && at > r.until)
+      r = {503, R"({"fault":"past its time"})", {}, 0};
     // What stands behind a call that nobody here can settle now would wait as long, one after the other: it goes elsewhere.
     const bool behind = read && r.status == 503 && (c->in.behind() || !c->still());
     const bool stays = read && !behind && c->in.keep_alive();
--- a/src/port/port.h
+++ b/src/port/port.h
@@ -24,6 +24,7 @@
   int status = 200;
   std::string body = "{}";
   std::string headers;  // further ones, each with its line end
+  std::int64_t until = 0;  // microseconds of the steady clock: after it this says nothing of now, and 503 is answered. 0: for ever
 };
 
 // Of the calls at work on one port.
