--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -308,6 +308,7 @@
 // ---- catching up ----
 
 void Keep::chase(std::int64_t now, Outbox& out) {
+  if (known_ <= holds_.number) chase_.reset();
   if (known_ <= holds_.number || failed_) return;
   if (!chase_) {
     chase_.emplace();
@@ -742,7 +743,7 @@
 std::int64_t Keep::wake() const {
   std::int64_t at = std::numeric_limits<std::int64_t>::max();
   if (attempt_) at = std::min(at, attempt_->next);
-  else if (!orders_.empty()) at = std::min(at, not_before_);
+  else if (!orders_.empty() && known_ <= holds_.number) at = std::min(at, not_before_);
   if (seats_) at = std::min(at, seats_->next);
   else if (succession_) at = std::min(at, next_seats_);
   if (!orders_.empty()) at = std::min(at, orders_.front().until);
--- a/src/mesh/locus.cpp
+++ b/src/mesh/locus.cpp
@@ -153,7 +153,7 @@
     const std::int64_t at = keep_.wake();
     if (at >= now() + 100'000 || at == armed_) return;
     armed_ = at;
-    wakes_.expires_after(std::chrono::microseconds(std::max<std::int64_t>(0, at - now())));
+    wakes_.expires_after(std::chrono::microseconds(std::max<std::int64_t>(1'000, at - now())));
     wakes_.async_wait([this](asio::error_code over) {
       if (over) return;
       armed_ = 0;
