--- a/src/port/calls.h
+++ b/src/port/calls.h
@@ -83,6 +83,15 @@
   }
 };
 
+struct CoreSize {  // ours: how many core machines vote
+  static constexpr std::string_view method = "POST", path = "/v1/Core.Size/";
+  using Answer = Reply;
+  std::string count;
+  static std::optional<CoreSize> read(std::string_view argument, std::string_view) {
+    return argument.empty() || argument.size() > 2 ? std::nullopt : std::optional(CoreSize{std::string(argument)});
+  }
+};
+
 struct Status {  // ours: what this process is and believes, for operators and tools
   static constexpr std::string_view method = "GET", path = "/v1/status";
   using Answer = Reply;
