--- a/src/mesh/locus.cpp
+++ b/src/mesh/locus.cpp
@@ -247,7 +247,7 @@
   };
   return boost::leaf::try_handle_some(usable, [&](const trove::Trouble& t) -> trove::result<std::unique_ptr<trove::Trove>> {
     std::error_code wrong;
-    if (t.why.find("in use") != std::string::npos || !std::filesystem::exists(folder, wrong)) return boost::leaf::new_error(t);
+    if (t.step != "damage") return boost::leaf::new_error(t);  // in use, or no room: it may be right again
     aside = t.step + " " + t.peer + ": " + t.why;
     std::filesystem::remove_all(folder + ".aside", wrong);  // one is kept, for whoever looks into it
     std::filesystem::rename(folder, folder + ".aside", wrong);
--- a/tests/mesh/fleet.h
+++ b/tests/mesh/fleet.h
@@ -1,7 +1,8 @@
 // Whole fleets of the mesh's state logic in memory, under one seed, told the time: rumours and core over the in-memory
-// span and trove, machines that are killed, lose their disks, are cut off and come back.
+// span and trove, machines that are killed, lose their disks, are cut off and come back. Programs that measure derive from it.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -44,6 +45,7 @@
     for (int i = 0; i < ambits; ++i) add(ambit(i), false, i);
     for (auto& [m, n] : nodes) start(m, true);
   }
+  virtual ~Fleet() = default;
   static Machine core(int i) { return 100 + Machine(i); }
   static Machine ambit(int i) { return 1000 + Machine(i); }
 
@@ -66,9 +68,7 @@
       const std::string why = trouble_of<void>([&] { return n.keep->begin(net.now, first, founders); });
       if (!why.empty()) faults.push_back(why);
     }
-    rumour::Outbox out;
-    n.rumour->state(net.now, n.record, out);
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) { n.rumour->state(net.now, n.record, out); });
   }
   void kill(Machine m) {
     Node& n = nodes.at(m);
@@ -96,12 +96,7 @@
       for (auto& [m, n] : nodes) {
         if (!n.up() || n.frozen) continue;
         const bool ticks = net.now >= n.ticked + 50'000;
-        if (!ticks && !(n.keep && n.keep->wake() <= net.now)) continue;
-        rumour::Outbox out;
-        if (n.keep) n.keep->tick(net.now, out);
-        if (ticks) n.rumour->tick(net.now, out), n.ticked = net.now;
-        send(m, out);
-        look(n);
+        if (ticks || (n.keep && n.keep->wake() <= net.now)) tick(m, n, ticks);
       }
     }
   }
@@ -111,9 +106,7 @@
     auto outcome = std::make_shared<std::optional<locus::Outcome>>();
     Node& n = nodes.at(m);
     if (!n.up()) return outcome;
-    rumour::Outbox out;
-    n.keep->order(net.now, {what, text}, [outcome](locus::Outcome o) { *outcome = std::move(o); }, out);
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) { n.keep->order(net.now, {what, text}, [outcome](locus::Outcome o) { *outcome = std::move(o); }, out); });
     return outcome;
   }
   // The same, until it is settled; 0 for an answer that never came.
@@ -138,9 +131,7 @@
   void state(Machine m, rumour::Record r) {
     Node& n = nodes.at(m);
     n.record = r;
-    rumour::Outbox out;
-    n.rumour->state(net.now, r, out);
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) { n.rumour->state(net.now, r, out); });
   }
 
   span::Net net;
@@ -148,27 +139,41 @@
   std::mt19937 chance;
   std::vector<std::string> faults;  // what may never be
 
- private:
-  void heard(Machine m, Machine from, std::string_view bytes) {
+ protected:
+  // Each call into a node's own code, and what it wants sent: who measures stands around it.
+  virtual void called(Machine m, Node& n, const std::function<void(rumour::Outbox&)>& call) {
+    (void)n;
+    rumour::Outbox out;
+    call(out);
+    send(m, out);
+  }
+  virtual void heard(Machine m, Machine from, std::string_view bytes) {
     Node& n = nodes.at(m);
     if (n.frozen) {
       n.waiting.emplace_back(from, bytes);
       return;
     }
-    rumour::Outbox out;
-    if (!locus::among_cores(bytes)) {
-      if (n.keep) n.rumour->whole(n.keep->fresh(net.now));
-      n.rumour->heard(net.now, from, bytes, out);
-    } else if (n.keep) {
-      n.keep->heard(net.now, from, bytes, out);
-    }
-    send(m, out);
+    called(m, n, [&](rumour::Outbox& out) {
+      if (!locus::among_cores(bytes)) {
+        if (n.keep) n.rumour->whole(n.keep->fresh(net.now));
+        n.rumour->heard(net.now, from, bytes, out);
+      } else if (n.keep) {
+        n.keep->heard(net.now, from, bytes, out);
+      }
+    });
+    look(n);
+  }
+  void tick(Machine m, Node& n, bool rumours) {
+    called(m, n, [&](rumour::Outbox& out) {
+      if (n.keep) n.keep->tick(net.now, out);
+      if (rumours) n.rumour->tick(net.now, out), n.ticked = net.now;
+    });
     look(n);
   }
   void send(Machine m, const rumour::Outbox& out) {
     for (const auto& d : out) nodes.at(m).span->send(d.to, d.bytes);
   }
-  void look(Node& n) {
+  virtual void look(Node& n) {
     if ((!n.rumour->caught_up() && !n.core) || n.creed->changes() == n.looked) return;
     n.looked = n.creed->changes();
     for (const auto& [name, item] : n.creed->items()) {
