Who has lost its seat settles no more what it accepted, and tells nobody of it

Cause: a core that gave up its seat with a change accepted and never settled asked for it again at each round trip, for ever. Change: only who votes does.

--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -518,7 +518,7 @@
   b.counter = voter_->memory().counter;
   if (const auto it = peers_.find(to); it != peers_.end()) b.yours = it->second.told.store, b.seen = voter_->seen_of(b.yours);
   b.holds = holds_;
-  b.accepted = accepted();
+  b.accepted = votes() ? accepted() : 0;
   b.voters = voters();
   b.votes = voter_->standing() == verdict::yes;
   b.ready = ready();
@@ -717,7 +717,8 @@
 void Keep::tick(std::int64_t now, Outbox& out) {
   expire(now);
   if (failed_) return;
-  doubtful_since_ = accepted() > holds_.number ? (doubtful_since_ > 0 ? doubtful_since_ : now) : 0;
+  // Of one that has no seat any more nobody counts it: others settle without it, and it would ask for ever.
+  doubtful_since_ = votes() && accepted() > holds_.number ? (doubtful_since_ > 0 ? doubtful_since_ : now) : 0;
   can_hand_over_ = !standbys(now).empty();
   if (now >= next_beat_) {
     // Somebody unheard is looked into at once: the sooner a seat is given away the sooner a further loss is borne.
