A core that has to catch up first asks to be woken for that, not for its next try

Cause: wake() told the next try's time, long past, while an order waited for a chase: the role spun until the chase was over.

--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -742,7 +742,7 @@
 std::int64_t Keep::wake() const {
   std::int64_t at = std::numeric_limits<std::int64_t>::max();
   if (attempt_) at = std::min(at, attempt_->next);
-  else if (!orders_.empty()) at = std::min(at, not_before_);
+  else if (!orders_.empty() && known_ <= holds_.number) at = std::min(at, not_before_);
   if (seats_) at = std::min(at, seats_->next);
   else if (succession_) at = std::min(at, next_seats_);
   if (!orders_.empty()) at = std::min(at, orders_.front().until);
