An attempt that somebody refused is tried anew soon, though one of the voters is down

Cause: refused for too low a ballot by one voter while another is down, an attempt waited its whole 850 ms for the one that says nothing, and learnt no round from the refusal: after a loss of power a core whose rounds were behind answered 503 for each round that it lacked, 0.85 s each, with two of three up. Any answer tells its round now, and what was refused ends at its next resend (70 ms).

--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -502,6 +502,8 @@
     if (!*attempt) continue;
     const auto asked = (*attempt)->unanswered.find(r.store);
     if (asked == (*attempt)->unanswered.end() || asked->second.first != from) continue;  // a copy of a disk elsewhere is not the one asked
+    round_ = std::max(round_, r.promised.round);
+    if ((*attempt)->answers(r.ballot) && (r.how == verdict::lower || r.how == verdict::stale)) (*attempt)->refused = true;
     consensus::Step step = (*attempt)->proposal.heard(r);
     take_step(now, *attempt, std::move(step), out);
     if (*attempt && r.how == verdict::yes && r.what == (*attempt)->proposal.stage() && (*attempt)->answers(r.ballot)) (*attempt)->unanswered.erase(r.store);
@@ -731,6 +733,15 @@
   if (chase_ && now >= chase_->next) chase(now, out);
   for (auto* attempt : {&attempt_, &seats_}) {
     if (!*attempt || now < (*attempt)->next) continue;
+    if ((*attempt)->refused) {
+      // A higher ballot or a later list is needed anyway: those who say nothing may be down, and aren't waited for.
+      (*attempt)->refused = false;
+      const auto ballot = (*attempt)->ballot;
+      const auto silent = (*attempt)->unanswered;
+      for (const auto& [store, asked] : silent)
+        if (*attempt && (*attempt)->answers(ballot)) take_step(now, *attempt, (*attempt)->proposal.lost(store, (*attempt)->proposal.stage()), out);
+      continue;
+    }
     (*attempt)->pause = std::min(4 * again, 2 * (*attempt)->pause);
     (*attempt)->next = now + (*attempt)->pause;
     for (const auto& [to, asked] : (*attempt)->unanswered) Parcels::send(asked.first, asked.second, out);
--- a/src/locus/keep.h
+++ b/src/locus/keep.h
@@ -92,7 +92,8 @@
     std::map<std::string, std::pair<Machine, std::string>> unanswered;  // by store: where, and what it was asked
     std::int64_t begun = 0, next = 0, pause = again;
     std::uint64_t base = 0;  // the number that its orders were judged on
-    consensus::Ballot ballot;
+    consensus::Ballot ballot{};
+    bool refused = false;  // by one: a ballot or a list too low
     bool answers(const consensus::Ballot& b) const { return b == ballot; }
   };
   struct Chase {  // catching up
