A list of voters that was settled is taken up by whoever meets it

Cause: where the core that settled a list died before it told anybody (a leaver ended by its grace, a loss of power), everybody else's succession was refused by that list in the register and never took it up: no seat could be given any more, for good.

--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -697,6 +697,12 @@
 void Keep::seats_ended(std::int64_t now, const consensus::Outcome& o, Outbox& out) {
   if (!succession_) return;
   if (o.how == fate::chosen && job_.name == state_register) settled(now, o.value, out);
+  // Whoever brought a later list may have gone before it told anybody.
+  if (job_.name == consensus::voters_register && (o.how == fate::refused || o.how == fate::chosen) && o.value.version > voters().version)
+    if (const auto settled_list = Voters::read(o.value.version, o.value.text)) {
+      told(*settled_list);
+      beat(now, out, true);
+    }
   succession_->ended(o);
   if (succession_->voters().version > voters().version) {
     told(succession_->voters());
