A word from before the present list says nothing of who holds a seat in it

Cause: a core that had not yet heard the new store at a machine's address took the new one's seat for another's, and its older word for a standby: the seat went back to the store that was gone, and to and fro each 120 ms or so until that word was 1.5 s old (ten epochs in 1.2 s with all five machines up; a further loss in that time left no majority).

--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -619,7 +619,9 @@
       continue;
     }
     const auto it = peers_.find(m);
-    if (it != peers_.end() && now - it->second.heard < in_contact && (it->second.told.store != s.store || it->second.told.leaving)) {
+    // A word from before the present list says nothing of who holds a seat in it.
+    if (it != peers_.end() && now - it->second.heard < in_contact && it->second.told.voters.version >= voters().version &&
+        (it->second.told.store != s.store || it->second.told.leaving)) {
       found.insert(s.store);
       continue;
     }
@@ -642,7 +644,8 @@
   std::map<Machine, std::string> found;
   if (!voters().seat(store()) && ready() && !leaving_ && known_ <= holds_.number) found[self_] = store();
   for (const auto& [m, p] : peers_)
-    if (now - p.heard < in_contact && p.told.ready && !p.told.leaving && !voters().seat(p.told.store) && p.told.holds.number + 2 >= holds_.number)
+    if (now - p.heard < in_contact && p.told.ready && !p.told.leaving && p.told.voters.version >= voters().version && !voters().seat(p.told.store) &&
+        p.told.holds.number + 2 >= holds_.number)
       found[m] = p.told.store;
   std::vector<Standby> all;
   for (const auto& [m, s] : found) all.push_back({{text_of(m), s, text_of(m)}});
