--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -503,6 +503,8 @@
     if (!*attempt) continue;
     const auto asked = (*attempt)->unanswered.find(r.store);
     if (asked == (*attempt)->unanswered.end() || asked->second.first != from) continue;  // a copy of a disk elsewhere is not the one asked
+    round_ = std::max(round_, r.promised.round);
+    if ((*attempt)->answers(r.ballot) && (r.how == verdict::lower || r.how == verdict::stale)) (*attempt)->refused = true;
     consensus::Step step = (*attempt)->proposal.heard(r);
     take_step(now, *attempt, std::move(step), out);
     if (*attempt && r.how == verdict::yes && r.what == (*attempt)->proposal.stage() && (*attempt)->answers(r.ballot)) (*attempt)->unanswered.erase(r.store);
@@ -618,7 +620,9 @@
       continue;
     }
     const auto it = peers_.find(m);
-    if (it != peers_.end() && now - it->second.heard < in_contact && (it->second.told.store != s.store || it->second.told.leaving)) {
+    // A word from before the present list says nothing of who holds a seat in it.
+    if (it != peers_.end() && now - it->second.heard < in_contact && it->second.told.voters.version >= voters().version &&
+        (it->second.told.store != s.store || it->second.told.leaving)) {
       found.insert(s.store);
       continue;
     }
@@ -641,7 +645,8 @@
   std::map<Machine, std::string> found;
   if (!voters().seat(store()) && ready() && !leaving_ && known_ <= holds_.number) found[self_] = store();
   for (const auto& [m, p] : peers_)
-    if (now - p.heard < in_contact && p.told.ready && !p.told.leaving && !voters().seat(p.told.store) && p.told.holds.number + 2 >= holds_.number)
+    if (now - p.heard < in_contact && p.told.ready && !p.told.leaving && p.told.voters.version >= voters().version && !voters().seat(p.told.store) &&
+        p.told.holds.number + 2 >= holds_.number)
       found[m] = p.told.store;
   std::vector<Standby> all;
   for (const auto& [m, s] : found) all.push_back({{text_of(m), s, text_of(m)}});
@@ -696,6 +701,12 @@
 void Keep::seats_ended(std::int64_t now, const consensus::Outcome& o, Outbox& out) {
   if (!succession_) return;
   if (o.how == fate::chosen && job_.name == state_register) settled(now, o.value, out);
+  // Whoever brought a later list may have gone before it told anybody.
+  if (job_.name == consensus::voters_register && (o.how == fate::refused || o.how == fate::chosen) && o.value.version > voters().version)
+    if (const auto settled_list = Voters::read(o.value.version, o.value.text)) {
+      told(*settled_list);
+      beat(now, out, true);
+    }
   succession_->ended(o);
   if (succession_->voters().version > voters().version) {
     told(succession_->voters());
@@ -733,6 +744,15 @@
   if (chase_ && now >= chase_->next) chase(now, out);
   for (auto* attempt : {&attempt_, &seats_}) {
     if (!*attempt || now < (*attempt)->next) continue;
+    if ((*attempt)->refused) {
+      // A higher ballot or a later list is needed anyway: those who say nothing may be down, and aren't waited for.
+      (*attempt)->refused = false;
+      const auto ballot = (*attempt)->ballot;
+      const auto silent = (*attempt)->unanswered;
+      for (const auto& [store, asked] : silent)
+        if (*attempt && (*attempt)->answers(ballot)) take_step(now, *attempt, (*attempt)->proposal.lost(store, (*attempt)->proposal.stage()), out);
+      continue;
+    }
     (*attempt)->pause = std::min(4 * again, 2 * (*attempt)->pause);
     (*attempt)->next = now + (*attempt)->pause;
     for (const auto& [to, asked] : (*attempt)->unanswered) Parcels::send(asked.first, asked.second, out);
