Tests: bytes behind an answer cost no call, and a stray answer in an upload is not waited past

Faults put by hand into a scratch copy escaped: a connection taken up over surplus bytes (ids kept each answer apart, but garbage cost the next call a 502), one that its server had closed, and a stray answer waited past where the server stays open.

--- a/tests/mesh/carry_test.cpp
+++ b/tests/mesh/carry_test.cpp
@@ -300,6 +300,10 @@
         while (c->in.came() < 200'000 && co_await c->more(error) == codec::reading::unfinished && !error) c->in.pass_on();
         const std::string said = box.early(c->in);
         if (!said.empty()) co_await c->write(said, {}, written);
+        if (box.late) {
+          asio::steady_timer pause(io, box.late());
+          co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        }
         c->abort();
         co_return;
       }
@@ -405,6 +409,26 @@
   STRCMP_EQUAL("b2", m.get().body.c_str());
 }
 
+// Right behind an answer, or later: the connection rests, and is looked at before it is used again. No call is lost to it.
+TEST(Carry, what_comes_behind_an_answer_ends_its_connection_and_costs_no_call) {
+  enum class then { behind, later, closed };
+  for (const then when : {then::behind, then::later, then::closed})
+    for (const int remote : {0, 1}) {
+      Mesh m(2);
+      m.only({remote});
+      Box& box = m.box(remote);
+      box.answer = [&](const codec::Message& in) { return ++box.runs, seal_of(in) + (when == then::behind ? "not an answer\r\n\r\n" : ""); };
+      CHECK_EQUAL(200, m.post().status);
+      const auto c = box.connections.back().lock();
+      asio::error_code wrong;
+      if (when == then::later) asio::write(c->socket, asio::buffer("not an answer\r\n\r\n", 17), wrong);
+      if (when == then::closed) c->close();
+      CHECK_EQUAL(200, m.post().status);
+      CHECK_EQUAL(2, box.taken_in);
+      CHECK_EQUAL(2, m.runs());
+    }
+}
+
 TEST(Carry, a_late_answer_of_an_earlier_request_is_read_past) {
   Mesh m(1);
   std::string before;
@@ -752,6 +776,7 @@
 TEST(Carry, a_stray_answer_ends_an_upload_at_once_and_is_not_its_answer) {
   Mesh m(1);
   m.box(0).early = [&](const codec::Message&) { return std::string("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\nContent-Length: 1\r\n\r\no"); };
+  m.box(0).late = [] { return 1'800ms; };  // and does not close
   const auto begun = std::chrono::steady_clock::now();
   const Answered a = m.post("/big/x", std::string(900'000, 'u'));
   CHECK_EQUAL(503, a.status);
