--- a/tests/mesh/carry_test.cpp
+++ b/tests/mesh/carry_test.cpp
@@ -409,6 +409,38 @@
   STRCMP_EQUAL("b2", m.get().body.c_str());
 }
 
+TEST(Carry, requests_that_a_client_pipelines_are_answered_each_and_in_their_order) {
+  for (const int remote : {0, 1}) {
+    Mesh m(2);
+    m.only({remote});
+    Box& box = m.box(remote);
+    box.answer = [&](const codec::Message& in) { return ++box.runs, seal_of(in, std::string(in.header("X-Attempt-Id"))); };
+    box.late = [&] { return box.runs == 1 ? 20ms : 0ms; };
+    std::string got;
+    bool over = false;
+    asio::co_spawn(
+        m.io, [&]() -> awaitable<void> {
+          const auto c = m.client();
+          c->limit(node::steady::now() + 3s);
+          co_await c->connect(m.calls_at());
+          std::string text;
+          for (const std::size_t size : {3, 0, 100'000, 7})
+            text += fmt::format("POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: p{}\r\nContent-Length: {}\r\n\r\n{}", size, size, std::string(size, 'x'));
+          std::size_t written = 0;
+          asio::error_code error = co_await c->write(text, {}, written);
+          for (int n = 0; n < 4 && !error; ++n) {
+            if (!c->in.whole()) co_await c->read(error);
+            if (!error) got += std::string(c->in.body()) + " ", c->in.next();
+          }
+          over = true;
+        },
+        asio::detached);
+    CHECK(m.until([&] { return over; }));
+    STRCMP_EQUAL("p3 p0 p100000 p7 ", got.c_str());
+    CHECK_EQUAL(4, m.runs());
+  }
+}
+
 // Right behind an answer, or later: the connection rests, and is looked at before it is used again. No call is lost to it.
 TEST(Carry, what_comes_behind_an_answer_ends_its_connection_and_costs_no_call) {
   enum class then { behind, later, closed };
