--- a/tests/mesh/carry_test.cpp
+++ b/tests/mesh/carry_test.cpp
@@ -831,7 +831,7 @@
       relays_.back()->mangle = [this, i](int at, std::string bytes) { return surplus(owed_between_[{i, at}], std::move(bytes), 10); };
     }
     for (int i = 0; i < clients; ++i) asio::co_spawn(m_.io, client(), asio::detached);
-    while (left_ > 0) {
+    while (left_ > 0 && faults.empty()) {
       m_.io.run_one_for(1s);
       if (draw(150) == 0) m_.relive(draw(servers_), draw(3) > 0);
       if (draw(150) == 0) m_.reset_node(draw(servers_));
@@ -904,9 +904,9 @@
     for (int n = 0; n < each;) {
       if (!c) {
         c = m_.client();
-        c->limit(node::steady::now() + 10s);
         if (co_await c->connect(m_.calls_at())) break;
       }
+      c->limit(node::steady::now() + 2s);
       std::vector<std::string> ids;
       std::string text;
       for (int piped = draw(6) == 0 ? 2 : 1; piped-- > 0 && n < each; ++n) {
@@ -927,6 +927,7 @@
         if (!stays) break;
         const auto got = c->in.whole() ? codec::reading::complete : co_await c->read(error);
         stays = got == codec::reading::complete && c->in.keep_alive();
+        if (c->ran_out()) fault(id + " got no answer");
         if (got != codec::reading::complete) break;
         Request& r = asked_[id];
         r.status = c->in.status(), r.body = c->in.body();
