A machine whose disk was lost takes its own seat back and never gets a second one

Cause: of two seats that were given up (an emptied disk, a planned end) the first in the list went to the only standby, though that was the emptied machine itself: it held two of three seats, one of them dead for good, and one further loss left no majority. Change: a machine with another disk takes its own seat first; a standby at an address that has a seat takes no other.

--- a/src/locus/seats.h
+++ b/src/locus/seats.h
@@ -1,6 +1,7 @@
 // Who should vote: which voter gives its seat to which standby, told what this core has heard. Free of I/O and clocks.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -17,7 +18,7 @@
 
 // `gone`: stores of voters that will not answer again, or not soon; `size`: voters wanted. Nothing where all is well, or
 // where nobody can take a seat: a voter is never let go without a successor, but where there are more than wanted. One seat
-// changes at a time.
+// changes at a time, and no machine gets a second one: two that go with it would be a majority's loss by one machine.
 inline std::optional<std::vector<consensus::Seat>> next_seats(const consensus::Voters& voters, const std::set<std::string>& gone,
                                                               const std::vector<Standby>& standbys, std::size_t size) {
   if (voters.now.empty() || voters.changing()) return std::nullopt;
@@ -29,20 +30,19 @@
     seats.erase(seats.begin() + std::ptrdiff_t(out));
     return seats;
   }
-  if (standbys.empty()) return std::nullopt;
-  for (auto& seat : seats) {
-    if (!gone.contains(seat.store)) continue;
-    const Standby* taker = &standbys.front();
-    for (const Standby& s : standbys)
-      if (s.seat.address == seat.address) taker = &s;  // the same machine with another disk
-    seat = taker->seat;
-    return seats;
-  }
-  if (seats.size() < size) {
-    seats.push_back(standbys.front().seat);
-    return seats;
-  }
-  return std::nullopt;
+  const auto seat_at = [&](const std::string& address) {
+    return std::find_if(seats.begin(), seats.end(), [&](const consensus::Seat& s) { return s.address == address; });
+  };
+  // The same machine with another disk takes its own seat before any other changes hands.
+  for (const Standby& s : standbys)
+    if (const auto seat = seat_at(s.seat.address); seat != seats.end() && gone.contains(seat->store)) return *seat = s.seat, seats;
+  const auto taker = std::find_if(standbys.begin(), standbys.end(), [&](const Standby& s) { return seat_at(s.seat.address) == seats.end(); });
+  if (taker == standbys.end()) return std::nullopt;
+  const auto lost = std::find_if(seats.begin(), seats.end(), [&](const consensus::Seat& s) { return gone.contains(s.store); });
+  if (lost != seats.end()) return *lost = taker->seat, seats;
+  if (seats.size() >= size) return std::nullopt;
+  seats.push_back(taker->seat);
+  return seats;
 }
 
 }  // namespace robinpin::locus
--- a/tests/mesh/fleet_test.cpp
+++ b/tests/mesh/fleet_test.cpp
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include <set>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace robinpin;
@@ -293,6 +295,27 @@
   }
 }
 
+// One standby for two seats: the disk that was lost, and a machine that is about to go.
+TEST(Fleet, a_machine_with_an_empty_disk_takes_its_own_seat_back_and_never_a_second_one) {
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    Fleet f(0, 3, 700 + seed);
+    CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+    rumour::Outbox out;
+    f.nodes.at(core(1)).keep->leave(f.net.now, out);
+    f.kill(core(2)), f.wipe(core(2)), f.start(core(2));
+    f.run(3 * second);
+    for (int i = 0; i < 3; ++i) {
+      std::set<std::string> addresses;
+      for (const auto& seat : f.nodes.at(core(i)).keep->voters().now) addresses.insert(seat.address);
+      CHECK_EQUAL(3, addresses.size());
+      CHECK(f.nodes.at(core(i)).keep->votes());
+    }
+    f.kill(core(int(seed % 3)));
+    f.run(second);
+    CHECK_EQUAL(200, f.settled(core(int(seed + 1) % 3), What::adjust, one_route("00000008", "two")));
+  }
+}
+
 TEST(Fleet, a_call_that_was_taken_is_taken_again_though_its_service_has_gone_since) {
   Fleet f(0, 3, 17);
   CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
