A seat just given is silent from when it has its holder, not from before

Cause: how long a voter was silent counted from this core's own start where the voter had never been heard as one: a store that had just got its seat looked silent to all who had not had its next beat yet, and the seat went on to another at once. Change: counted from when the list with it was learnt; of stores without a seat nothing is kept.

--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -91,7 +91,7 @@
     locus::put(batch, own());
     if (!put(std::move(batch), trove::Trove::lasting::synced)) return boost::leaf::new_error(*failed_);
   }
-  cores_changed();
+  cores_changed(now);
   rumour_.whole(false);
   return {};
 }
@@ -121,16 +121,20 @@
   return put(std::move(batch), how);
 }
 
-void Keep::told(const Voters& voters) {
+void Keep::told(std::int64_t now, const Voters& voters) {
   if (const auto change = voter_->told(voters)) {
     put(*change, trove::Trove::lasting::synced);
-    cores_changed();
+    cores_changed(now);
   }
 }
 
-void Keep::cores_changed() {
+void Keep::cores_changed(std::int64_t now) {
   std::set<Machine> cores;
-  for (const Seat& s : voters().all()) cores.insert(machine_of(s.address));
+  for (const Seat& s : voters().all()) {
+    cores.insert(machine_of(s.address));
+    heard_.try_emplace(s.store, now);  // silent from when it has its seat, not from before
+  }
+  std::erase_if(heard_, [&](const auto& heard) { return !voters().seat(heard.first); });
   if (!cores.empty()) rumour_.cores({cores.begin(), cores.end()}, voters().version);
 }
 
@@ -233,7 +237,7 @@
   const std::uint64_t base = attempt->base;
   attempt.reset();
   round_ = std::max(round_, step.end->round);
-  if (step.end->newer) told(*step.end->newer);
+  if (step.end->newer) told(now, *step.end->newer);
   if (&attempt == &seats_) seats_ended(now, *step.end, out);
   else ended(now, *step.end, wrote, base, out);
 }
@@ -475,7 +479,7 @@
     const auto epoch = voters().version;
     auto heard = voter_->ask(ask);
     if (heard.change && !put(*heard.change, trove::Trove::lasting::synced)) return;  // never answered before it lasts
-    if (voters().version != epoch) cores_changed();
+    if (voters().version != epoch) cores_changed(now);
     answer.reply = std::move(heard.reply);
     if (a.knows_text && answer.reply.value.version == a.holds.number && answer.reply.value.by == a.holds.by) answer.reply.value.text.clear();
   }
@@ -569,7 +573,7 @@
   if (p.told.store != b.store) p.contact = -1, p.number = 0;  // another disk, or its first word
   p.heard = now;
   if (const Seat* s = voters().seat(b.store); s && machine_of(s->address) == from) heard_[b.store] = now;
-  if (b.voters.version > voters().version) told(b.voters);
+  if (b.voters.version > voters().version) told(now, b.voters);
   if (b.yours == store()) {
     const bool returned = voter_->standing() == verdict::returning;
     voter_->witnessed(b.store, b.seen);
@@ -704,12 +708,12 @@
   // Whoever brought a later list may have gone before it told anybody.
   if (job_.name == consensus::voters_register && (o.how == fate::refused || o.how == fate::chosen) && o.value.version > voters().version)
     if (const auto settled_list = Voters::read(o.value.version, o.value.text)) {
-      told(*settled_list);
+      told(now, *settled_list);
       beat(now, out, true);
     }
   succession_->ended(o);
   if (succession_->voters().version > voters().version) {
-    told(succession_->voters());
+    told(now, succession_->voters());
     beat(now, out, true);
   }
   if (o.how == fate::chosen) return next_job(now, out);
--- a/src/locus/keep.h
+++ b/src/locus/keep.h
@@ -136,9 +136,9 @@
   Own own() const;
   bool put(trove::Trove::Batch batch, trove::Trove::lasting how);
   bool put(const consensus::Change& change, trove::Trove::lasting how);
-  void told(const consensus::Voters& voters);
+  void told(std::int64_t now, const consensus::Voters& voters);
   void saw(const std::string& store, std::uint64_t counter);
-  void cores_changed();
+  void cores_changed(std::int64_t now);
   void become(std::string store);
   std::uint64_t accepted() const;
   std::set<std::string> gone(std::int64_t now) const;
@@ -169,7 +169,7 @@
   std::int64_t not_before_ = 0;      // the next try
   std::int64_t doubtful_since_ = 0;  // 0: nothing accepted waits to be settled
   std::map<Machine, Peer> peers_;
-  std::map<std::string, std::int64_t> heard_;  // voters' stores, when
+  std::map<std::string, std::int64_t> heard_;  // voters' stores, when; or since when they have their seat
   std::deque<std::pair<std::uint64_t, std::int64_t>> beats_;  // echo, when sent; a few
   std::int64_t begun_ = 0, next_beat_ = 0;
   std::deque<std::pair<std::string, std::string>> said_;  // asks that were answered lately, and the answers: one comes again
