An item that no datagram can carry is refused with 413

Cause: one item of over 60,000 bytes was confirmed and settled, and never reached a node: nodes take items one datagram at a time. Change: an item of over 48,000 bytes is refused with 413 and its call with it, nothing of it taken. Measured: the new test (one above refused, one just below on all seven) passes.

--- a/src/locus/judge.cpp
+++ b/src/locus/judge.cpp
@@ -2,11 +2,14 @@
 
 #include <charconv>
 
+#include "../rumour/wire.h"
+
 namespace robinpin::locus {
 
 namespace {
 const Outcome taken{200, "{}"};
 std::size_t size_of(const creed::Item& i) { return i.name.size() + i.text.size(); }
+static_assert(most_item + rumour::full_datagram < rumour::longest_datagram);
 }  // namespace
 
 std::vector<creed::Item> View::changes() const {
@@ -69,7 +72,9 @@
     changes.push_back(!held || held->version < i.version);
     if (held && held->version == i.version && !creed::same_wording(*held, i))
       clashes.push_back({i.name.substr(i.name.find('/') + 1), "version " + creed::version_text(i.version) + " stands in another wording"});
-    if (changes.back()) after.put(i), bytes += size_of(i);
+    if (!changes.back()) continue;
+    if (size_of(i) > most_item) return {413, R"({"fault":"no item may have over 48,000 bytes"})"};
+    after.put(i), bytes += size_of(i);
   }
   // Of what changes nothing its services may have gone since: it was taken then, or overtaken.
   for (const creed::Need& n : change_.needs) {
--- a/src/locus/judge.h
+++ b/src/locus/judge.h
@@ -43,6 +43,7 @@
 
 constexpr std::string_view size_name = "k/voters";
 constexpr std::size_t most_change = 4'000'000;  // bytes of one call's items
+constexpr std::size_t most_item = 48'000;       // bytes of one: nodes are told of it in one datagram
 
 // Read once; judged as often as the state moves under it.
 class Call {
--- a/tests/mesh/fleet_test.cpp
+++ b/tests/mesh/fleet_test.cpp
@@ -316,6 +316,19 @@
   }
 }
 
+TEST(Fleet, an_item_that_no_datagram_carries_is_refused_and_one_just_below_reaches_all) {
+  Fleet f(4, 3, 31);
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+  const auto service = [](std::size_t bytes, const std::string& version) {
+    return R"({"apply":{"targets":{"axes":["label","probe","conn_limit","protocol","tls","warmup","warmup_per_s","revision"],"records":[["three","/)" + std::string(bytes, 'p') +
+           R"(",130,"h1",false,"3s",21.0,")" + version + R"("]]}}})";
+  };
+  CHECK_EQUAL(413, f.settled(core(0), What::adjust, service(locus::most_item, "00000008")));
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, service(locus::most_item - 400, "00000008")));
+  f.run(2 * second);
+  CHECK_EQUAL(7, f.with("t/three", 8));
+}
+
 TEST(Fleet, a_call_that_was_taken_is_taken_again_though_its_service_has_gone_since) {
   Fleet f(0, 3, 17);
   CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
