--- a/tests/mesh/explore.h
+++ b/tests/mesh/explore.h
@@ -216,6 +216,7 @@
   { auto& p = much(add("three, and two addresses that are free", scripts)); p.vacant = 2, p.joins = 2, p.leaves = 1; }
   { auto& p = much(add("five", scripts)); p.voters = 5, p.wipes = 3; }
   { auto& p = much(add("three, names let go of", scripts)); p.pruned = true, p.olds = 2; }
+  { auto& p = much(add("three to four to five and back", {{size("4"), one, size("5"), gone, size("3")}, {two, size("5"), further, size("4"), read}, {read, clash, size("3"), needs}})); p.standbys = 2, p.leaves = 1; }
   much(add("many routes", {{many, read}, {one, read}, {read, gone, read}}));
   return all;
 }
--- a/tests/mesh/fleet_test.cpp
+++ b/tests/mesh/fleet_test.cpp
@@ -16,6 +16,12 @@
   std::string body;
   return f.settled(m, What::read, {}, &body) == 200 ? body : std::string();
 }
+// As an operator does it: again where nobody can tell.
+int taken(Fleet& f, Machine m, What what, const std::string& text) {
+  int status = 0;
+  for (int tries = 0; tries < 5 && status != 200; ++tries, f.run(second / 5)) status = f.settled(m, what, text);
+  return status;
+}
 bool says(Fleet& f, Machine m, const std::string& text) { return reads(f, m).find(text) != std::string::npos; }
 }  // namespace
 
@@ -316,6 +322,36 @@
   }
 }
 
+TEST(Fleet, the_core_grows_to_four_and_five_and_back_to_three_and_bears_losses_at_each_size) {
+  for (std::uint32_t seed = 1; seed <= 6; ++seed) {
+    Fleet f(3, 3, 800 + seed);
+    f.net.loss = 0.02;
+    CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+    for (const int i : {3, 4}) f.add(core(i), true, i), f.start(core(i));
+    std::uint64_t version = 7;
+    for (const std::size_t size : {4U, 5U, 4U, 3U, 5U, 3U}) {
+      CHECK_EQUAL(200, taken(f, core(int(seed + size) % 5), What::size, std::to_string(size)));
+      f.run(4 * second);
+      for (int i = 0; i < 5; ++i) CHECK_EQUAL(size, f.nodes.at(core(i)).keep->voters().now.size());
+      const int lost = size == 5 ? 2 : 1;  // as many as leave a majority, the first of the voters
+      const auto voters = f.nodes.at(core(0)).keep->voters().now;
+      std::vector<Machine> down;
+      for (int i = 0; i < lost; ++i) down.push_back(Machine(std::stoul(voters[(seed + std::size_t(i)) % voters.size()].address)));
+      for (const Machine m : down) f.kill(m);
+      for (auto& [m, n] : f.nodes) {
+        if (!n.core || !n.up()) continue;
+        const std::string change = one_route(creed::version_text(version + 1), version % 2 ? "one" : "two");
+        ++version;
+        CHECK_EQUAL(200, taken(f, m, What::adjust, change));
+      }
+      for (const Machine m : down) f.start(m);
+      f.run(3 * second);
+      for (int i = 0; i < 5; ++i) CHECK(says(f, core(i), creed::version_text(version)));
+    }
+    CHECK(f.faults.empty());
+  }
+}
+
 TEST(Fleet, an_item_that_no_datagram_carries_is_refused_and_one_just_below_reaches_all) {
   Fleet f(4, 3, 31);
   CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
