--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -645,6 +645,16 @@
   return found;
 }
 
+std::set<std::string> Keep::quiet(std::int64_t now) const {
+  std::set<std::string> found;
+  for (const Seat& s : voters().now) {
+    const auto it = peers_.find(machine_of(s.address));
+    const bool answers = it != peers_.end() && it->second.told.store == s.store && it->second.votes && it->second.contact >= 0 && now - it->second.contact <= 2 * beat_pause;
+    if (s.store != store() && !answers) found.insert(s.store);
+  }
+  return found;
+}
+
 std::vector<Standby> Keep::standbys(std::int64_t now) const {
   std::map<Machine, std::string> found;
   if (!voters().seat(store()) && ready() && !leaving_ && known_ <= holds_.number) found[self_] = store();
@@ -681,7 +691,7 @@
   } else {
     changing_since_ = 0;
     if (!fresh(now)) return;
-    auto seats = next_seats(voters(), gone(now), standbys(now), wanted_size());
+    auto seats = next_seats(voters(), gone(now), quiet(now), standbys(now), wanted_size());
     if (!seats) return;
     succession_.emplace(voters(), std::move(*seats));
   }
--- a/src/locus/keep.h
+++ b/src/locus/keep.h
@@ -142,6 +142,7 @@
   void become(std::string store);
   std::uint64_t accepted() const;
   std::set<std::string> gone(std::int64_t now) const;
+  std::set<std::string> quiet(std::int64_t now) const;
   std::vector<Standby> standbys(std::int64_t now) const;
   std::set<Machine> others(std::int64_t now) const;
   bool ready() const { return voters().version > 0; }
--- a/src/locus/seats.h
+++ b/src/locus/seats.h
@@ -16,18 +16,24 @@
   consensus::Seat seat;
 };
 
-// `gone`: stores of voters that will not answer again, or not soon; `size`: voters wanted. Nothing where all is well, or
-// where nobody can take a seat: a voter is never let go without a successor, but where there are more than wanted. One seat
+// `gone`: stores of voters that will not answer again, or not soon; `quiet`: those that have not answered just now; `size`: voters
+// wanted. Nothing where all is well, or where nobody can take a seat: a voter is never let go without a successor, but where there
+// are more than wanted; and then nobody who answers while another that stays does not, as fewer voters bear fewer losses. One seat
 // changes at a time, and no machine gets a second one: two that go with it would be a majority's loss by one machine.
-inline std::optional<std::vector<consensus::Seat>> next_seats(const consensus::Voters& voters, const std::set<std::string>& gone,
+inline std::optional<std::vector<consensus::Seat>> next_seats(const consensus::Voters& voters, const std::set<std::string>& gone, const std::set<std::string>& quiet,
                                                               const std::vector<Standby>& standbys, std::size_t size) {
   if (voters.now.empty() || voters.changing()) return std::nullopt;
   std::vector<consensus::Seat> seats = voters.now;
   if (seats.size() > size) {
-    std::size_t out = seats.size() - 1;
-    for (std::size_t i = 0; i < seats.size(); ++i)
-      if (gone.contains(seats[i].store)) out = i;
-    seats.erase(seats.begin() + std::ptrdiff_t(out));
+    const auto of = [&](const std::set<std::string>& stores) {
+      return std::find_if(seats.begin(), seats.end(), [&](const consensus::Seat& s) { return stores.contains(s.store); });
+    };
+    auto out = of(gone);
+    if (out == seats.end()) {
+      if (of(quiet) != seats.end()) return std::nullopt;  // it answers soon, or is gone soon
+      out = std::prev(seats.end());
+    }
+    seats.erase(out);
     return seats;
   }
   const auto seat_at = [&](const std::string& address) {
