A core that leaves counts until the list without it is settled, also while it changes

Cause: whether anybody could take the leaver's seat was asked of those that stand by; in the midst of the change its successor has a seat already and none stands by, so the leaver was let go while the list still counted on it, perhaps with the only copy beside one. Change: it goes no sooner than the change is over, nor before those that stand by have had a beat's time to know the list. Beside it tests for what faults put by hand showed to be kept by no net: contact by answers from before a freeze, lapses told by a cut-off core, promises over a loss of power, an epoch that is not compared, majorities of one list only.

--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -129,6 +129,7 @@
 }
 
 void Keep::cores_changed(std::int64_t now) {
+  listed_ = now;
   std::set<Machine> cores;
   for (const Seat& s : voters().all()) {
     cores.insert(machine_of(s.address));
@@ -744,7 +745,9 @@
   if (failed_) return;
   // Of one that has no seat any more nobody counts it: others settle without it, and it would ask for ever.
   doubtful_since_ = votes() && accepted() > holds_.number ? (doubtful_since_ > 0 ? doubtful_since_ : now) : 0;
-  can_hand_over_ = !standbys(now).empty();
+  // While the list changes whoever takes the seat has it already and stands by no more; and just after, who stands by has not yet
+  // said that it knows the list. The one that leaves counts until then.
+  can_hand_over_ = voters().changing() || now - listed_ <= beat_pause || !standbys(now).empty();
   if (now >= next_beat_) {
     // Somebody unheard is looked into at once: the sooner a seat is given away the sooner a further loss is borne.
     bool amiss = !fresh(now) || known_ > holds_.number || voters().changing();
--- a/src/locus/keep.h
+++ b/src/locus/keep.h
@@ -166,6 +166,7 @@
   std::optional<consensus::Succession> succession_;
   consensus::Want job_;  // of it, the one under way
   std::int64_t succession_until_ = 0, next_seats_ = 0, changing_since_ = 0;
+  std::int64_t listed_ = 0;  // when the present list was learnt
   std::optional<Chase> chase_;
   std::int64_t not_before_ = 0;      // the next try
   std::int64_t doubtful_since_ = 0;  // 0: nothing accepted waits to be settled
--- a/tests/mesh/fleet_test.cpp
+++ b/tests/mesh/fleet_test.cpp
@@ -189,6 +189,78 @@
   for (const auto& [m, e] : f.nodes.at(ambit(3)).rumour->roll().entries()) CHECK_FALSE(e.record.lapsed);
 }
 
+// Else of two that compete both could get a majority: one before the voter was down, the other after it came back.
+TEST(Fleet, what_a_voter_has_promised_or_accepted_binds_it_after_a_loss_of_power) {
+  Fleet f(0, 3, 21);
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+  f.run(second);
+  const auto& voter = *f.nodes.at(core(0)).keep;
+  const std::string store = voter.store();
+  const std::uint64_t next = voter.number() + 1;
+  std::vector<consensus::Reply> replies;
+  span::Memory proposer(f.net, 77);
+  proposer.listen([&](Machine, std::string_view bytes) {
+    if (const auto a = locus::read_whole<locus::Answering>(bytes)) replies.push_back(a->reply);
+  });
+  const auto asked = [&](consensus::phase what, std::uint64_t round, const std::string& text = {}) {
+    locus::Asking a;
+    a.ask = {what, store, "state", {round, "77/drawn"}, {text.empty() ? 0 : next, text, "77/" + text}, f.nodes.at(core(0)).keep->voters(), {}};
+    replies.clear();
+    proposer.send(core(0), locus::written(locus::kind::ask, a));
+    f.run(20'000);
+    CHECK_EQUAL(1, replies.size());
+    return replies.front();
+  };
+  const auto power_off = [&] {
+    f.kill(core(0));
+    f.nodes.at(core(0)).disk->lose_power();
+    f.start(core(0));
+    f.run(second);
+    CHECK(f.nodes.at(core(0)).keep->votes());
+  };
+  const std::string text = locus::packed({{"c/r0", 9, true, {}, 0}});
+  CHECK(asked(consensus::phase::prepare, 1'000).how == consensus::verdict::yes);
+  power_off();
+  CHECK(asked(consensus::phase::accept, 999, text).how == consensus::verdict::lower);
+  CHECK(asked(consensus::phase::prepare, 999).how == consensus::verdict::lower);
+  CHECK(asked(consensus::phase::accept, 1'000, text).how == consensus::verdict::yes);
+  power_off();
+  const auto told = asked(consensus::phase::look, 2'000);
+  CHECK(told.accepted.round >= 1'000 && told.value.version == next && told.value.text == text);
+}
+
+// Taken back within a second once they hear each other again, and so not to be seen then.
+TEST(Fleet, a_node_that_hears_one_cut_off_core_alone_keeps_its_list) {
+  Fleet f(6, 3, 12);
+  f.run(3 * second);
+  for (const auto& [m, n] : f.nodes)
+    if (m != core(0) && m != ambit(5)) f.cut(core(0), m), f.cut(ambit(5), m);
+  f.run(20 * second);
+  for (const Machine at : {core(0), ambit(5)}) {
+    CHECK_EQUAL(9, f.nodes.at(at).rumour->roll().entries().size());
+    for (const auto& [m, e] : f.nodes.at(at).rumour->roll().entries()) CHECK_FALSE(e.record.lapsed);
+  }
+}
+
+// Answers to its beats lay in its sockets, and say nothing of the present.
+TEST(Fleet, a_core_that_wakes_is_not_whole_by_answers_from_before_it_stood_still) {
+  for (std::uint32_t seed = 540; seed < 560; ++seed) {
+    Fleet f(0, 3, seed);
+    CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+    f.run(second + std::int64_t(seed % 10) * 50'000);
+    f.freeze(core(0));
+    f.run(20'000);
+    f.cut_off(core(0));
+    CHECK_EQUAL(200, f.settled(core(1), What::adjust, one_route("00000009", "two")));
+    f.run(6 * second);
+    f.thaw(core(0));
+    CHECK_FALSE(f.nodes.at(core(0)).keep->fresh(f.net.now));
+    f.join();
+    f.run(2 * second);
+    CHECK(f.nodes.at(core(0)).keep->fresh(f.net.now));
+  }
+}
+
 TEST(Fleet, a_life_with_a_clock_set_back_is_believed_after_the_life_before_it) {
   Fleet f(4, 3, 12);
   f.nodes.at(ambit(0)).life = 1000;
@@ -301,6 +373,72 @@
   }
 }
 
+// The two that know of each other only as they were before are a majority of the earlier list.
+TEST(Fleet, a_core_that_missed_a_change_of_voters_settles_nothing_with_one_that_did_not) {
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    Fleet f(0, 3, 620 + seed);
+    CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+    f.cut_off(core(2));
+    f.add(core(3), true, 3), f.start(core(3));
+    f.cut(core(2), core(3));
+    f.run(4 * second);
+    CHECK(f.nodes.at(core(3)).keep->votes());
+    for (const int there : {0, 3}) f.cut(core(1), core(there));
+    for (auto it = f.net.cut.begin(); it != f.net.cut.end();)
+      if (std::set<Machine>{it->first, it->second} == std::set<Machine>{core(1), core(2)}) it = f.net.cut.erase(it);
+      else ++it;
+    const auto missed = f.order(core(2), What::adjust, one_route("00000008", "one")), read = f.order(core(2), What::read);
+    CHECK_EQUAL(200, taken(f, core(0), What::adjust, one_route("00000009", "two")));
+    f.run(second);
+    CHECK(missed->has_value() && (*missed)->status == 503);
+    CHECK(read->has_value() && (*read)->status == 503);
+  }
+}
+
+// A planned end: while the list changes a majority of both is needed, and who goes is let go once a majority of the new one has all.
+TEST(Fleet, who_leaves_goes_once_others_hold_all_and_while_the_list_changes_neither_list_is_enough) {
+  int changing = 0;
+  for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+    Fleet f(0, 3, 650 + seed);
+    f.add(core(3), true, 3), f.start(core(3));
+    f.run(second);
+    CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+    const auto& leaver = *f.nodes.at(core(2)).keep;
+    rumour::Outbox out;
+    f.nodes.at(core(2)).keep->leave(f.net.now, out);
+    CHECK_FALSE(leaver.may_go());
+    const auto& first = *f.nodes.at(core(0)).keep;
+    for (int i = 0; i < 4'000 && !(seed % 2 ? first.voters().changing() : leaver.may_go()); ++i) f.run(1'000);
+    if (leaver.may_go()) {
+      const auto& list = leaver.voters();
+      CHECK_FALSE(list.seat(leaver.store()));
+      std::set<std::string> hold;
+      for (const int i : {0, 1, 3})
+        if (const auto& k = *f.nodes.at(core(i)).keep; k.number() == leaver.number()) hold.insert(k.store());
+      CHECK(list.majority(hold));
+    } else if (first.voters().changing()) {
+      ++changing;
+      // Two of the earlier list on one side, two of the next on the other.
+      for (const int a : {0, 2})
+        for (const int b : {1, 3}) f.cut(core(a), core(b));
+      f.run(second / 10);
+      const bool still = first.voters().changing() && f.nodes.at(core(1)).keep->voters().changing();
+      if (still)
+        for (const int at : {0, 2, 1, 3}) CHECK_EQUAL(503, f.settled(core(at), What::adjust, one_route("00000008", "two")));
+      f.join();
+      f.run(3 * second);
+      CHECK(leaver.may_go());
+    }
+    f.kill(core(2)), f.wipe(core(2));
+    f.run(second);
+    f.kill(core(int(seed) % 2));
+    f.run(second);
+    CHECK_EQUAL(200, taken(f, core(3), What::adjust, one_route("00000009", "two")));
+    CHECK(says(f, core(3), "\"r2\""));
+  }
+  CHECK(changing > 5);
+}
+
 // One standby for two seats: the disk that was lost, and a machine that is about to go.
 TEST(Fleet, a_machine_with_an_empty_disk_takes_its_own_seat_back_and_never_a_second_one) {
   for (std::uint32_t seed = 1; seed <= 10; ++seed) {
--- a/tests/mesh/world.h
+++ b/tests/mesh/world.h
@@ -649,7 +649,10 @@
 }
 
 inline void World::mended() {
-  // Who is core has to be known to a majority of the new list: what one alone knew to be settled goes with it.
+  // Who is core has to be known to a majority of the list, and no later list be under way: what one alone knew to be settled goes
+  // with it, and a seat under way may be a store's that was lost before it had it.
+  for (const auto& [name, bid] : truth_.bids)
+    if (name.starts_with(consensus::voters_register) && bid.value.version > truth_.voters.version && !bid.accepted.empty()) return;
   std::set<std::string> know;
   for (const Node& n : nodes_)
     if (n.keep && n.keep->voters().version == truth_.voters.version) know.insert(n.keep->store());
