--- a/bench/mesh_procs.py
+++ b/bench/mesh_procs.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
 """What the mesh's processes cost at rest and by a change: real ones on loopback, each server's beats played.
 
-Use: mesh_procs.py BUILD_FOLDER AMBITS [--cores 3] [--items 1000] [--seconds 20] [--net 9]. They live at 127.NET.x.y and end
-with this program. Processor time is /proc's, of the whole process: wake-ups and system calls are in it, and so are the beats.
+Use: mesh_procs.py BUILD_FOLDER AMBITS [--cores 3] [--items 1000] [--seconds 20] [--net 9] [--changes N]. They live at 127.NET.x.y and
+end with this program. --changes: names are set and dropped again, 500 a call, so many in all; then disk and memory of the core. Processor time is /proc's, of the whole process: wake-ups and system calls are in it, and so are the beats.
 """
 import argparse
 import asyncio
@@ -138,6 +138,19 @@
                 print("a change:", status)
             await asyncio.sleep(max(0, 1 - (time.monotonic() - began)))
 
+    if o.changes:
+        began, bad = time.monotonic(), 0
+        for n in range(o.changes // 1000):
+            first = json.loads(routes(10**6 + 500 * n, 500, "00000001", False))
+            drops = {"remove": {"channels": [{"label": r[0], "revision": "00000002"} for r in first["apply"]["channels"]["records"]]}}
+            for body in (first, drops):
+                while (await call(cores[n % len(cores)], 18620, "POST", "/v1/Configuration.Adjust", json.dumps(body)))[0] != 200:
+                    bad += 1
+        took = time.monotonic() - began
+        await asyncio.sleep(3)
+        for i, ip in enumerate(cores):
+            stored = sum(f.stat().st_size for f in pathlib.Path(f"{folder}/locus-{i}").rglob("*") if f.is_file())
+            print(f"changes  {o.changes} in {took:.1f} s, {bad} calls sent again: locus {i}: {stored / 1e6:.1f} MB on disk, {of(pids[ip])[1]:.1f} MB of memory", flush=True)
     await span("rest", o.seconds, asyncio.sleep)
     await span("changes", o.seconds, changes)
     # An ambit is killed and starts again; then a core, its disk emptied: until each says that it is ready.
@@ -169,6 +182,7 @@
     ask.add_argument("--items", type=int, default=1000)
     ask.add_argument("--seconds", type=int, default=20)
     ask.add_argument("--net", type=int, default=9)
+    ask.add_argument("--changes", type=int, default=0)
     o = ask.parse_args()
     started = []
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
--- a/tests/mesh/fleet_test.cpp
+++ b/tests/mesh/fleet_test.cpp
@@ -202,9 +202,9 @@
   proposer.listen([&](Machine, std::string_view bytes) {
     if (const auto a = locus::read_whole<locus::Answering>(bytes)) replies.push_back(a->reply);
   });
-  const auto asked = [&](consensus::phase what, std::uint64_t round, const std::string& text = {}) {
+  const auto asked = [&](consensus::phase what, std::uint64_t round, const std::string& text = {}, std::uint64_t ahead = 0) {
     locus::Asking a;
-    a.ask = {what, store, "state", {round, "77/drawn"}, {text.empty() ? 0 : next, text, "77/" + text}, f.nodes.at(core(0)).keep->voters(), {}};
+    a.ask = {what, store, "state", {round, "77/drawn"}, {text.empty() ? 0 : next + ahead, text, "77/" + text}, f.nodes.at(core(0)).keep->voters(), {}};
     replies.clear();
     proposer.send(core(0), locus::written(locus::kind::ask, a));
     f.run(20'000);
@@ -223,6 +223,8 @@
   power_off();
   CHECK(asked(consensus::phase::accept, 999, text).how == consensus::verdict::lower);
   CHECK(asked(consensus::phase::prepare, 999).how == consensus::verdict::lower);
+  // Nor does it accept a number whose state it could not hand on, as it lacks the one before.
+  CHECK(asked(consensus::phase::accept, 1'000, text, 1).how == consensus::verdict::returning);
   CHECK(asked(consensus::phase::accept, 1'000, text).how == consensus::verdict::yes);
   power_off();
   const auto told = asked(consensus::phase::look, 2'000);
@@ -460,6 +462,22 @@
   }
 }
 
+TEST(Fleet, a_machine_that_has_a_seat_takes_no_other_and_a_dead_one_waits_for_who_has_none) {
+  const consensus::Voters voters{4, {{"1", "a", "1"}, {"2", "b", "2"}, {"3", "c", "3"}}, {}};
+  const locus::Standby again{{"2", "x", "2"}}, other{{"4", "d", "4"}};
+  CHECK_FALSE(locus::next_seats(voters, {"a"}, {}, {again}, 3));  // nobody has said yet that b is gone
+  CHECK_FALSE(locus::next_seats(voters, {}, {}, {again}, 4));
+  const auto seats = locus::next_seats(voters, {"a"}, {}, {again, other}, 3);
+  CHECK(seats && seats->front().store == "d" && seats->at(1).store == "b");
+  const auto own = locus::next_seats(voters, {"a", "b"}, {}, {again, other}, 3);
+  CHECK(own && own->front().store == "a" && own->at(1).store == "x");
+  // Fewer: who is gone goes; else nobody while one that stays may be lost, as then the fewer may have no majority.
+  const auto fewer = locus::next_seats(voters, {"b"}, {"c"}, {}, 2);
+  CHECK(fewer && fewer->size() == 2 && fewer->at(1).store == "c");
+  CHECK_FALSE(locus::next_seats(voters, {}, {"a"}, {}, 2));
+  CHECK(locus::next_seats(voters, {}, {}, {}, 2)->at(1).store == "b");
+}
+
 TEST(Fleet, the_core_grows_to_four_and_five_and_back_to_three_and_bears_losses_at_each_size) {
   for (std::uint32_t seed = 1; seed <= 6; ++seed) {
     Fleet f(3, 3, 800 + seed);
