--- a/tests/mesh/fleet_test.cpp
+++ b/tests/mesh/fleet_test.cpp
@@ -568,6 +568,23 @@
   CHECK(says(f, core(1), "\"n" + std::to_string(50'000 + held * 500 - 1) + "\""));
 }
 
+// Fifty pieces, a fifth of which is lost, doubled, or comes before the one that it follows.
+TEST(Fleet, a_core_that_catches_up_by_pieces_lacks_none_of_those_that_were_lost) {
+  for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+    Fleet f(0, 3, 900 + seed);
+    CHECK_EQUAL(200, taken(f, core(0), What::adjust, first_call("00000007", 1'500)));
+    f.run(second);
+    f.kill(core(2));
+    if (seed % 2) f.wipe(core(2));  // all of it, or what it missed
+    CHECK_EQUAL(200, taken(f, core(0), What::adjust, first_call("00000008", 1'200)));
+    f.net.loss = f.net.doubled = 0.1;
+    f.start(core(2));
+    for (int i = 0; i < 300 && f.nodes.at(core(2)).keep->number() < f.nodes.at(core(0)).keep->number(); ++i) f.run(100'000);
+    CHECK_EQUAL(f.nodes.at(core(0)).keep->number(), f.nodes.at(core(2)).keep->number());
+    CHECK(f.nodes.at(core(0)).creed->items() == f.nodes.at(core(2)).creed->items());
+  }
+}
+
 TEST(Fleet, new_seeds_are_asked_until_one_with_a_whole_copy_has_told_who_is_core) {
   creed::Creed c;
   rumour::Rumour r({1000, "z", false}, 1, {100}, c, 7);
