A late or doubled beat of a core is not believed

Change: each beat has its sender's life and a sequence; a late one of that life, or any of an earlier life, is passed over. Measured: the new test fails without the comparison and passes with it; Fleet passes (32).

--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -47,7 +47,7 @@
 }  // namespace
 
 Keep::Keep(Machine self, creed::Creed& creed, rumour::Rumour& rumour, trove::Trove& trove, std::uint64_t chance, Spans spans)
-    : self_(self), creed_(creed), rumour_(rumour), trove_(trove), spans_(spans), chance_(chance), proposer_(text_of(self) + "/" + hex(chance_())) {}
+    : self_(self), creed_(creed), rumour_(rumour), trove_(trove), spans_(spans), chance_(chance), life_(chance_()), proposer_(text_of(self) + "/" + hex(life_)) {}
 
 trove::result<void> Keep::begin(std::int64_t now, bool first_start, const std::vector<Machine>& seeds) {
   begun_ = now;
@@ -519,8 +519,9 @@
 
 // ---- who is there ----
 
-Beat Keep::own_beat(std::int64_t now, Machine to) const {
+Beat Keep::own_beat(std::int64_t now, Machine to) {
   Beat b;
+  b.life = life_, b.sequence = ++said_beats_;
   b.store = store();
   b.counter = voter_->memory().counter;
   if (const auto it = peers_.find(to); it != peers_.end()) b.yours = it->second.told.store, b.seen = voter_->seen_of(b.yours);
@@ -571,6 +572,10 @@
     peers_.erase(oldest);
   }
   Peer& p = peers_[from];
+  // Late or doubled: it would make a machine that has said that it leaves, or has a new disk, look as it was.
+  if (b.life == p.told.life ? b.sequence <= p.told.sequence : std::find(p.lives.begin(), p.lives.end(), b.life) != p.lives.end()) return;
+  if (b.life != p.told.life && p.told.life != 0) p.lives.push_back(p.told.life);
+  if (p.lives.size() > most_lives) p.lives.pop_front();
   if (p.told.store != b.store) p.contact = -1, p.number = 0;  // another disk, or its first word
   p.heard = now;
   if (const Seat* s = voters().seat(b.store); s && machine_of(s->address) == from) heard_[b.store] = now;
--- a/src/locus/keep.h
+++ b/src/locus/keep.h
@@ -39,7 +39,7 @@
   static constexpr std::int64_t in_contact = 1'500'000;   // an answered beat says so much of the present
   static constexpr std::int64_t beat_pause = 500'000;     // between beats; a fifth of it while something is amiss
   static constexpr std::int64_t doubtful_for = 200'000;   // an accepted change that nobody has settled by then is settled
-  static constexpr std::size_t most_orders = 64, most_peers = 16;
+  static constexpr std::size_t most_orders = 64, most_peers = 16, most_lives = 8;
 
   using Done = std::function<void(Outcome)>;
 
@@ -71,6 +71,7 @@
 
   struct Peer {  // another core machine, as its last word and its last answer told
     Beat told;
+    std::deque<std::uint64_t> lives;  // earlier ones, the last few: their words come late
     std::int64_t heard = 0;
     std::int64_t contact = -1;  // when the beat was sent that it answered last
     std::uint64_t number = 0;   // the highest that this answer told, settled or not
@@ -132,7 +133,7 @@
   void restart_chase(bool snapshot);
   void caught_up(const Stands& holds, std::uint64_t floor, Outbox& out);
   void beat(std::int64_t now, Outbox& out, bool news);  // news: not to be answered
-  Beat own_beat(std::int64_t now, Machine to) const;
+  Beat own_beat(std::int64_t now, Machine to);
   Own own() const;
   bool put(trove::Trove::Batch batch, trove::Trove::lasting how);
   bool put(const consensus::Change& change, trove::Trove::lasting how);
@@ -154,13 +155,14 @@
   trove::Trove& trove_;
   const Spans spans_;
   std::mt19937_64 chance_;
+  const std::uint64_t life_;    // drawn
   const std::string proposer_;  // this life's
   std::vector<Machine> seeds_;
   std::optional<consensus::Voter> voter_;
   Stands holds_;
   consensus::Value last_;  // what brought `holds_`, where it is known
   std::uint64_t known_ = 0;  // the highest number heard of as settled
-  std::uint64_t round_ = 0, tries_ = 0, attempts_ = 0;
+  std::uint64_t round_ = 0, tries_ = 0, attempts_ = 0, said_beats_ = 0;
   std::deque<Waiting> orders_;
   std::optional<Attempt> attempt_, seats_;
   std::optional<consensus::Succession> succession_;
--- a/src/locus/wire.h
+++ b/src/locus/wire.h
@@ -95,7 +95,8 @@
 };
 
 struct Beat {
-  std::uint64_t echo = 0;  // of the beat that this answers; 0: plain news
+  std::uint64_t life = 0, sequence = 0;  // of its sender's process, drawn; grows with each: a late one can be known
+  std::uint64_t echo = 0;                // of the beat that this answers; 0: plain news
   bool answer = false;
   std::string store;
   std::uint64_t counter = 0;
@@ -110,7 +111,7 @@
   std::vector<std::pair<std::string, std::uint32_t>> ages;  // of each voter's store, milliseconds since it was heard
   template <typename A>
   void serialize(A& a) {
-    a(echo, answer, store, counter, yours, seen, holds, accepted, voters, votes, ready, leaving, ages);
+    a(life, sequence, echo, answer, store, counter, yours, seen, holds, accepted, voters, votes, ready, leaving, ages);
   }
 };
 
--- a/tests/mesh/fleet_test.cpp
+++ b/tests/mesh/fleet_test.cpp
@@ -441,6 +441,40 @@
   CHECK(changing > 5);
 }
 
+// Its words come late and doubled after it has gone for good: a seat given to it would be one more loss.
+TEST(Fleet, a_machine_that_has_left_gets_no_seat_by_what_it_said_before) {
+  struct Late : Fleet {
+    using Fleet::Fleet;
+    std::map<Machine, std::vector<std::string>> beats;  // of core 3, by whom they went to
+    void heard(Machine m, Machine from, std::string_view bytes) override {
+      if (from == core(3) && bytes[0] == char(locus::kind::beat) && beats[m].size() < 40) beats[m].emplace_back(bytes);
+      Fleet::heard(m, from, bytes);
+    }
+    void again() {
+      for (const auto& [m, all] : std::map(beats))
+        for (const auto& bytes : all)
+          if (nodes.at(m).up()) Fleet::heard(m, core(3), bytes);
+    }
+  };
+  Late f(0, 3, 77);
+  f.add(core(3), true, 3), f.start(core(3));
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+  f.run(2 * second);
+  const std::string store = f.nodes.at(core(3)).keep->store();
+  rumour::Outbox out;
+  f.nodes.at(core(3)).keep->leave(f.net.now, out);
+  CHECK(f.nodes.at(core(3)).keep->may_go());
+  for (const auto& d : out) f.nodes.at(core(3)).span->send(d.to, d.bytes);
+  f.run(10'000);
+  f.kill(core(3)), f.wipe(core(3));
+  f.kill(core(2));
+  for (int i = 0; i < 30; ++i) f.again(), f.run(100'000);
+  for (const int i : {0, 1}) {
+    CHECK_FALSE(f.nodes.at(core(i)).keep->voters().seat(store));
+    CHECK_EQUAL(200, f.settled(core(i), What::adjust, one_route(creed::version_text(std::uint64_t(20 + i)), "two")));
+  }
+}
+
 // One standby for two seats: the disk that was lost, and a machine that is about to go.
 TEST(Fleet, a_machine_with_an_empty_disk_takes_its_own_seat_back_and_never_a_second_one) {
   for (std::uint32_t seed = 1; seed <= 10; ++seed) {
