Which of two lives of a core is the present one is told by who answers

Change: a word of a life that another has followed counts where it answers a beat that was sent just now; then it is the present one.

--- a/src/locus/keep.cpp
+++ b/src/locus/keep.cpp
@@ -572,8 +572,15 @@
     peers_.erase(oldest);
   }
   Peer& p = peers_[from];
-  // Late or doubled: it would make a machine that has said that it leaves, or has a new disk, look as it was.
-  if (b.life == p.told.life ? b.sequence <= p.told.sequence : std::find(p.lives.begin(), p.lives.end(), b.life) != p.lives.end()) return;
+  // Late or doubled: it would make a machine that has said that it leaves, or has a new disk, look as it was. Which of two lives is the
+  // present one is told by who answers what was asked just now: a late word may be the first that is heard of either.
+  const auto sent = std::find_if(beats_.begin(), beats_.end(), [&](const auto& x) { return b.answer && b.echo != 0 && x.first == b.echo; });
+  if (const auto known = std::find(p.lives.begin(), p.lives.end(), b.life); b.life == p.told.life) {
+    if (b.sequence <= p.told.sequence) return;
+  } else if (known != p.lives.end()) {
+    if (sent == beats_.end()) return;
+    p.lives.erase(known);
+  }
   if (b.life != p.told.life && p.told.life != 0) p.lives.push_back(p.told.life);
   if (p.lives.size() > most_lives) p.lives.pop_front();
   if (p.told.store != b.store) p.contact = -1, p.number = 0;  // another disk, or its first word
@@ -588,8 +595,7 @@
   }
   saw(b.store, b.counter);
   if (b.answer) {
-    const auto sent = std::find_if(beats_.begin(), beats_.end(), [&](const auto& x) { return x.first == b.echo; });
-    if (b.echo != 0 && sent != beats_.end() && sent->second >= p.contact) p.contact = sent->second, p.number = std::max(b.holds.number, b.accepted), p.votes = b.votes;
+    if (sent != beats_.end() && sent->second >= p.contact) p.contact = sent->second, p.number = std::max(b.holds.number, b.accepted), p.votes = b.votes;
   } else {
     Beat reply = own_beat(now, from);
     reply.yours = b.store, reply.seen = voter_->seen_of(b.store);
--- a/tests/mesh/fleet_test.cpp
+++ b/tests/mesh/fleet_test.cpp
@@ -23,6 +23,21 @@
   return status;
 }
 bool says(Fleet& f, Machine m, const std::string& text) { return reads(f, m).find(text) != std::string::npos; }
+// Keeps the last beat of one core, by whom it went to, and brings it again.
+struct Late : Fleet {
+  Late(Machine whose, std::uint32_t seed) : Fleet(0, 3, seed), of(whose) {}
+  void heard(Machine m, Machine from, std::string_view bytes) override {
+    if (from == of && bytes[0] == char(locus::kind::beat) && keeps) beats[m] = bytes;
+    Fleet::heard(m, from, bytes);
+  }
+  void again() {
+    for (const auto& [m, bytes] : std::map(beats))
+      if (nodes.at(m).up()) Fleet::heard(m, of, bytes);
+  }
+  const Machine of;
+  bool keeps = true;
+  std::map<Machine, std::string> beats;
+};
 }  // namespace
 
 TEST_GROUP(Fleet){};
@@ -443,25 +458,12 @@
 
 // Its words come late and doubled after it has gone for good: a seat given to it would be one more loss.
 TEST(Fleet, a_machine_that_has_left_gets_no_seat_by_what_it_said_before) {
-  struct Late : Fleet {
-    using Fleet::Fleet;
-    std::map<Machine, std::string> beats;  // the last of core 3, by whom it went to
-    bool left = false;
-    void heard(Machine m, Machine from, std::string_view bytes) override {
-      if (from == core(3) && bytes[0] == char(locus::kind::beat) && !left) beats[m] = bytes;
-      Fleet::heard(m, from, bytes);
-    }
-    void again() {
-      for (const auto& [m, bytes] : std::map(beats))
-        if (nodes.at(m).up()) Fleet::heard(m, core(3), bytes);
-    }
-  };
-  Late f(0, 3, 77);
+  Late f(core(3), 77);
   f.add(core(3), true, 3), f.start(core(3));
   CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
   f.run(2 * second);
   const std::string store = f.nodes.at(core(3)).keep->store();
-  f.left = true;
+  f.keeps = false;
   rumour::Outbox out;
   f.nodes.at(core(3)).keep->leave(f.net.now, out);
   CHECK(f.nodes.at(core(3)).keep->may_go());
@@ -476,6 +478,25 @@
   }
 }
 
+// Two lives are new to who has just started, and the earlier one's word came last.
+TEST(Fleet, a_late_word_of_an_earlier_life_does_not_shut_the_present_one_out) {
+  Late f(core(2), 78);
+  CHECK_EQUAL(200, f.settled(core(0), What::adjust, first_call("00000007")));
+  f.run(2 * second);
+  f.keeps = false;
+  f.kill(core(2)), f.start(core(2));
+  f.run(second);
+  f.kill(core(0)), f.start(core(0));
+  f.run(second);
+  f.again();
+  f.run(second);
+  const auto& peers = f.nodes.at(core(0)).keep->peers();
+  CHECK(f.net.now - peers.at(core(2)).heard < second);
+  f.kill(core(1));
+  f.run(2 * second);
+  CHECK_EQUAL(200, taken(f, core(0), What::adjust, one_route("00000009", "two")));
+}
+
 // One standby for two seats: the disk that was lost, and a machine that is about to go.
 TEST(Fleet, a_machine_with_an_empty_disk_takes_its_own_seat_back_and_never_a_second_one) {
   for (std::uint32_t seed = 1; seed <= 10; ++seed) {
