A departure is acknowledged once the core has recorded it, and binds a restarted sidecar

Cause: departed and draining instances stood in the memory of one process (AdmissionController). The next process knew nothing of them, and its record, of a later incarnation, replaced what the peers knew.

Change: an instance that drains or departs becomes an item r/ID of the replicated control state. The sidecar asks the cores in turn, and answers 200 once it holds the committed item, else 503 after 0.85 s; it stops admitting at once either way. A new process learns the items as it catches up, before it admits anything. Records are dropped after 300 s; at most 4,000 stand.

--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -61,6 +61,8 @@
   bool on_heartbeat(std::int64_t now, Server server, std::int64_t warmup_left);
   // Records that instance `id` has ended.
   void on_departure(const std::string& id);
+  // The present instance drains, by what is known from elsewhere.
+  void start_draining() { server_.draining = true; }
   // Treats the server as warming up until then: it may have started to without telling.
   void assume_warmup_until(std::int64_t until) { assumed_warmup_until_ = until; }
   // Records how long the server, by its own statement, goes on warming up.
--- a/src/app/sidecar_process.cpp
+++ b/src/app/sidecar_process.cpp
@@ -8,6 +8,7 @@
 #include "../net/listening.h"
 #include "../rpc/calls.h"
 #include "../sidecar/outbound_proxy.h"
+#include "instance_retirements.h"
 #include "mesh_process.h"
 #include "shutdown_schedule.h"
 #include "status_json.h"
@@ -28,6 +29,8 @@
 constexpr int missed_heartbeats_until_down = 4;
 constexpr std::int64_t heartbeat_slack = 500'000;  // microseconds that a heartbeat may come late
 constexpr std::uint64_t ticks_between_sweeps = 20;
+// Microseconds: an application server waits a second for its acknowledgement.
+constexpr std::int64_t longest_wait_for_record = 850'000;
 
 class SidecarProcess : public MeshProcess {
  public:
@@ -40,6 +43,8 @@
         readiness_server_(io_, control_sockets_, control_call_limits),
         outbound_acceptor_(io_),
         inbound_acceptor_(io_),
+        retirements_(configuration_),
+        retirement_recorded_(io_, asio::steady_timer::time_point::max()),
         inbound_proxy_(io_, sockets_, settings, node::endpoint_of(settings.application)),
         outbound_proxy_(io_, clock_, sockets_, settings, inbound_proxy_, draw_random_seed(settings)) {
     register_calls();
@@ -60,13 +65,9 @@
  private:
   void register_calls() {
     control_server_.handle<rpc::Heartbeat>(
-        [this](rpc::Heartbeat heartbeat) -> awaitable<rpc::Acknowledgement> {
-          co_return on_heartbeat(heartbeat);
-        });
+        [this](rpc::Heartbeat heartbeat) { return on_heartbeat(std::move(heartbeat)); });
     control_server_.handle<rpc::Departure>(
-        [this](rpc::Departure departure) -> awaitable<rpc::Acknowledgement> {
-          co_return on_departure(departure);
-        });
+        [this](rpc::Departure departure) { return on_departure(std::move(departure)); });
     control_server_.handle<rpc::Status>([this](rpc::Status) -> awaitable<rpc::Reply> {
       const ProcessView process{settings, configuration_, gossip_, *transport_, now()};
       co_return rpc::Reply{200, sidecar_status_json(process, outbound_proxy_, is_ready_), {}};
@@ -98,19 +99,36 @@
         asio::detached);
   }
 
-  // Once this is acknowledged, a draining server gets no new request, and its peers have been notified.
-  rpc::Acknowledgement on_heartbeat(const rpc::Heartbeat& heartbeat) {
+  // Once this is acknowledged, a draining server gets no new request, also of a later process here, and its
+  // peers have been notified.
+  awaitable<rpc::Acknowledgement> on_heartbeat(rpc::Heartbeat heartbeat) {
+    take_heartbeat(heartbeat);
+    if (heartbeat.draining) return record_retirement(std::move(heartbeat.id));
+    return acknowledge();
+  }
+
+  awaitable<rpc::Acknowledgement> on_departure(rpc::Departure departure) {
+    inbound_proxy_.admission().on_departure(departure.id);
+    event_log_.append(EventType::server_down, now(), fmt::format("id={} how=departed", departure.id));
+    publish_member_record();
+    return record_retirement(std::move(departure.id));
+  }
+
+  awaitable<rpc::Acknowledgement> acknowledge() { co_return rpc::Acknowledgement{}; }
+
+  void take_heartbeat(const rpc::Heartbeat& heartbeat) {
     admission::Server reported;
     reported.id = heartbeat.id;
     reported.service = heartbeat.target;
     reported.address = heartbeat.address;
-    reported.draining = heartbeat.draining;
+    // A late heartbeat, of before its draining, may reach a process that was not there then.
+    reported.draining = heartbeat.draining || retirements_.is_retired(heartbeat.id);
     reported.slots = heartbeat.capacity;
     reported.sequence = heartbeat.sequence;
     admission::AdmissionController& admission = inbound_proxy_.admission();
     const std::string previous_id = admission.has_server() ? admission.server().id : "";
     const bool was_draining = admission.has_server() && admission.server().draining;
-    if (!admission.on_heartbeat(now(), reported, heartbeat.warmup_left)) return {};
+    if (!admission.on_heartbeat(now(), reported, heartbeat.warmup_left)) return;
     const bool is_new = previous_id != heartbeat.id;
     if (is_new)
       event_log_.append(EventType::server_up, now(),
@@ -119,14 +137,35 @@
     if (admission.server().draining && (is_new || !was_draining))
       event_log_.append(EventType::server_draining, now(), fmt::format("id={}", heartbeat.id));
     publish_member_record();
-    return {};
   }
 
-  rpc::Acknowledgement on_departure(const rpc::Departure& departure) {
-    inbound_proxy_.admission().on_departure(departure.id);
-    event_log_.append(EventType::server_down, now(), fmt::format("id={} how=departed", departure.id));
-    publish_member_record();
-    return {};
+  // Acknowledges once the core has recorded the instance: whoever runs here next will know.
+  awaitable<rpc::Acknowledgement> record_retirement(std::string id) {
+    gossip::Outbox out;
+    const bool is_requested = retirements_.request(now(), id, gossip_.cores(), out);
+    send(out);
+    const std::int64_t given_up_at = now() + longest_wait_for_record;
+    while (is_requested && !retirements_.is_retired(id) && now() < given_up_at) {
+      asio::error_code woken;
+      co_await retirement_recorded_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+    }
+    rpc::Acknowledgement acknowledgement;
+    acknowledgement.is_success = retirements_.is_retired(id);
+    acknowledgement.fault = "the core has not recorded it";
+    co_return acknowledgement;
+  }
+
+  // What the core has recorded binds here, too: it may be of a process before this one.
+  void apply_retirements() {
+    admission::AdmissionController& admission = inbound_proxy_.admission();
+    if (admission.has_server() && !admission.server().draining &&
+        retirements_.is_retired(admission.server().id)) {
+      admission.start_draining();
+      event_log_.append(EventType::server_draining, now(),
+                        fmt::format("id={} how=recorded", admission.server().id));
+      publish_member_record();
+    }
+    if (retirements_.has_requests()) retirement_recorded_.cancel();
   }
 
   // Sends this machine's record as it is now to the peers.
@@ -153,6 +192,7 @@
     gossip::Outbox out;
     gossip_.on_datagram(now(), from, datagram, out);
     send(out);
+    apply_retirements();
     apply_state_changes();
   }
 
@@ -204,6 +244,8 @@
     if (clock_jumped) assume_server_is_cold();
     gossip::Outbox out;
     gossip_.tick(now(), out);
+    if (retirements_.has_requests()) retirement_recorded_.cancel();
+    retirements_.tick(now(), gossip_.cores(), out);
     send(out);
     check_server_heartbeat();
     apply_state_changes();
@@ -256,6 +298,8 @@
   node::Sockets control_sockets_;
   rpc::Server control_server_, readiness_server_;
   asio::ip::tcp::acceptor outbound_acceptor_, inbound_acceptor_;
+  InstanceRetirements retirements_;
+  asio::steady_timer retirement_recorded_;  // cancelled to wake who waits for a record
   sidecar::InboundProxy inbound_proxy_;
   sidecar::OutboundProxy outbound_proxy_;
   configuration::RouteTableBuilder route_table_builder_;
--- a/src/configuration/versioned_item.h
+++ b/src/configuration/versioned_item.h
@@ -12,6 +12,8 @@
 // Names begin with what they are of.
 constexpr std::string_view channel_mark = "c/", target_mark = "t/", evacuation_mark = "e/",
                            saturation_name = "s";
+// An instance of an application server that was acknowledged as draining or departed: it gets no new request.
+constexpr std::string_view retirement_mark = "r/";
 
 struct VersionedItem {
   std::string name;
--- a/src/control_plane/messages.h
+++ b/src/control_plane/messages.h
@@ -67,7 +67,8 @@
   heartbeat,
   catch_up_request,
   catch_up_response,
-  fragment
+  fragment,
+  retirement_request
 };
 inline bool is_control_plane_message(std::string_view datagram) {
   return !datagram.empty() && std::uint8_t(datagram[0]) >= std::uint8_t(MessageType::consensus_request);
@@ -167,6 +168,17 @@
   }
 };
 
+// From a sidecar: record an instance of its application server as retired. The core's reply is the record
+// itself, as gossip of that one item, once it is committed. Sent again until then.
+struct RetirementRequest {
+  static constexpr std::size_t max_instance_bytes = 256;
+  std::string instance;
+  template <typename A>
+  void serialize(A& a) {
+    a(instance);
+  }
+};
+
 // A part of a message that is longer than a datagram.
 struct MessageFragment {
   std::uint64_t id = 0;  // of the whole message: its hash
--- a/src/control_plane/replicated_state.cpp
+++ b/src/control_plane/replicated_state.cpp
@@ -197,6 +197,9 @@
     case MessageType::catch_up_response:
       if (const auto f = decode<CatchUpResponse>(datagram)) on_catch_up_response(now, from, *f, out);
       break;
+    case MessageType::retirement_request:
+      if (const auto r = decode<RetirementRequest>(datagram)) on_retirement_request(now, from, *r, out);
+      break;
     default:
       return;
   }
@@ -246,6 +249,7 @@
       FragmentAssembler::send(asked.to, asked.message, out);
   }
   maintain_voters(now, out);
+  forget_retired_instances(now, out);
   process_requests(now, out);
 }
 
--- a/src/control_plane/replicated_state.h
+++ b/src/control_plane/replicated_state.h
@@ -57,6 +57,9 @@
   static constexpr std::size_t max_pending_requests = 64;
   static constexpr std::size_t max_peers = 16;
   static constexpr std::size_t max_earlier_incarnations = 8;
+  // How long an instance of an application server stays recorded as retired: heartbeats of it may arrive
+  // seconds late, after a restart of the sidecar beside it.
+  static constexpr std::int64_t retirement_lifetime = 300'000'000;
 
   // Called once for each submitted request, with the answer for the operator.
   using Done = std::function<void(RequestOutcome)>;
@@ -173,6 +176,12 @@
   void on_heartbeat(std::int64_t now, Machine from, PeerHeartbeat b, Outbox& out);
   void on_catch_up_request(Machine from, const CatchUpRequest& f, Outbox& out) const;
   void on_catch_up_response(std::int64_t now, Machine from, const CatchUpResponse& f, Outbox& out);
+  void on_retirement_request(std::int64_t now, Machine from, const RetirementRequest& request, Outbox& out);
+  void send_retirement(Machine to, const std::string& name, Outbox& out) const;
+  void confirm_retirements(Outbox& out);
+  void forget_retired_instances(std::int64_t now, Outbox& out);
+  // Records that have stood for their lifetime, as far as this machine has seen; a few at most.
+  std::vector<std::string> expired_retirements(std::int64_t now);
 
   // Another core holds this as settled.
   void learn_committed(std::int64_t now, const CommittedPosition& other, Outbox& out);
@@ -223,6 +232,11 @@
   // Replies to prepares, by request: a repeated request gets the same reply.
   std::deque<std::pair<std::string, std::string>> recent_replies_;
 
+  std::set<std::string> retirements_in_progress_;                  // names of items
+  std::vector<std::pair<Machine, std::string>> retirements_done_;  // by whom they were requested
+  std::map<std::string, std::int64_t> retirements_seen_;           // since when each record is known here
+  std::int64_t next_retirement_sweep_ = 0;
+
   std::optional<Attempt> voter_change_;  // a step of succession_, in flight
   std::optional<consensus::Succession> succession_;
   consensus::Want voter_change_job_;  // what voter_change_ proposes
--- a/src/control_plane/request_processing.cpp
+++ b/src/control_plane/request_processing.cpp
@@ -59,6 +59,7 @@
 void ReplicatedState::process_requests(std::int64_t now, Outbox& out) {
   expire_requests(now);
   if (!attempt_) propose(now, out);
+  confirm_retirements(out);
   gossip_.whole(is_current(now));
 }
 
--- a/src/control_plane/request_validation.cpp
+++ b/src/control_plane/request_validation.cpp
@@ -1,5 +1,6 @@
 #include "request_validation.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "../gossip/messages.h"
@@ -18,6 +19,15 @@
   return items;
 }
 
+std::vector<const configuration::VersionedItem*> StateView::committed_with_prefix(
+    std::string_view prefix) const {
+  std::vector<const configuration::VersionedItem*> found;
+  const auto& items = committed_->items();
+  for (auto it = items.lower_bound(prefix); it != items.end() && it->first.starts_with(prefix); ++it)
+    if (const auto* item = find(it->first); !item->dropped) found.push_back(&it->second);
+  return found;
+}
+
 std::size_t StateView::standing() const {
   std::size_t n = committed_->standing();
   for (const auto& [name, item] : changes_) {
@@ -42,29 +52,53 @@
   if (is_ == OperatorRequest::what::adjust)
     change_ = configuration::read_call(order.text);
   else
-    zone_ = std::move(order.text);
+    argument_ = std::move(order.text);
+}
+
+namespace {
+
+// Sets or drops an item whose version counts its changes. No change where it stands so already.
+RequestOutcome drop_or_set(StateView& view, std::string name, bool drop, std::string text) {
+  const configuration::VersionedItem* current = view.find(name);
+  if (current ? current->dropped == drop && current->text == text : drop) return success;
+  view.put({std::move(name), current ? current->version + 1 : 1, drop, std::move(text), 0});
+  return success;
+}
+
+std::string retirement_name(const std::string& instance) {
+  return std::string(configuration::retirement_mark) + instance;
+}
+
+}  // namespace
+
+RequestOutcome ValidatedCall::retire(StateView& view) const {
+  const auto standing = view.committed_with_prefix(configuration::retirement_mark);
+  if (standing.size() >= max_retired_instances) {
+    const auto oldest = std::min_element(standing.begin(), standing.end(),
+                                         [](const auto* a, const auto* b) { return a->at < b->at; });
+    drop_or_set(view, (*oldest)->name, true, "");
+  }
+  return drop_or_set(view, retirement_name(argument_), false, "{}");
 }
 
 RequestOutcome ValidatedCall::evaluate(StateView& view) const {
-  const auto drop_or_set = [&](std::string name, bool drop, std::string text) {
-    const configuration::VersionedItem* current = view.find(name);
-    if (current ? current->dropped == drop && current->text == text : drop) return success;
-    view.put({std::move(name), current ? current->version + 1 : 1, drop, std::move(text), 0});
-    return success;
-  };
   switch (is_) {
     case OperatorRequest::what::read:
       return success;
     case OperatorRequest::what::begin:
-      return drop_or_set(std::string(configuration::evacuation_mark) + zone_, false, "{}");
+      return drop_or_set(view, std::string(configuration::evacuation_mark) + argument_, false, "{}");
     case OperatorRequest::what::finish:
-      return drop_or_set(std::string(configuration::evacuation_mark) + zone_, true, "");
+      return drop_or_set(view, std::string(configuration::evacuation_mark) + argument_, true, "");
+    case OperatorRequest::what::retire:
+      return retire(view);
+    case OperatorRequest::what::forget_retired:
+      return drop_or_set(view, retirement_name(argument_), true, "");
     case OperatorRequest::what::size: {
       std::size_t n = 0;
-      const auto [end, wrong] = std::from_chars(zone_.data(), zone_.data() + zone_.size(), n);
-      if (wrong != std::errc() || end != zone_.data() + zone_.size() || n < 1 || n > 7)
+      const auto [end, wrong] = std::from_chars(argument_.data(), argument_.data() + argument_.size(), n);
+      if (wrong != std::errc() || end != argument_.data() + argument_.size() || n < 1 || n > 7)
         return {400, R"({"fault":"from 1 to 7 voters"})"};
-      return drop_or_set(std::string(voter_count_name), false, std::to_string(n));
+      return drop_or_set(view, std::string(voter_count_name), false, std::to_string(n));
     }
     case OperatorRequest::what::adjust:
       break;
--- a/src/control_plane/request_validation.h
+++ b/src/control_plane/request_validation.h
@@ -19,11 +19,12 @@
 };
 
 // A request of an operator: read or change the configuration, begin or finish the evacuation of a zone, or
-// set the number of voters.
+// set the number of voters. Or one of the mesh itself: record an instance of an application server as
+// retired, or drop such a record.
 struct OperatorRequest {
-  enum class what { read, adjust, begin, finish, size };
+  enum class what { read, adjust, begin, finish, size, retire, forget_retired };
   what is = what::read;
-  std::string text;  // a configuration, a zone, or how many voters
+  std::string text;  // a configuration, a zone, how many voters, or the id of an instance
 };
 
 // A committed state with uncommitted changes on top of it.
@@ -35,6 +36,8 @@
     return it == changes_.end() ? committed_->find(name) : &it->second;
   }
   void put(const configuration::VersionedItem& item) { changes_[item.name] = item; }
+  // Committed items whose names begin so and that stand in this view, too.
+  std::vector<const configuration::VersionedItem*> committed_with_prefix(std::string_view prefix) const;
   // In the order of their names; each once.
   std::vector<configuration::VersionedItem> changes() const;
   std::size_t standing() const;
@@ -46,6 +49,8 @@
 };
 
 constexpr std::string_view voter_count_name = "k/voters";
+// Records of retired instances that stand; a further one takes the place of the oldest.
+constexpr std::size_t max_retired_instances = 4'000;
 constexpr std::size_t max_change_bytes = 4'000'000;  // bytes of one call's items
 constexpr std::size_t max_item_bytes = 48'000;       // bytes of one: nodes are told of it in one datagram
 
@@ -58,8 +63,10 @@
   bool reads() const { return is_ == OperatorRequest::what::read; }
 
  private:
+  RequestOutcome retire(StateView& view) const;
+
   OperatorRequest::what is_;
-  std::string zone_;
+  std::string argument_;  // of a request other than `adjust`
   configuration::ConfigurationChange change_;
 };
 
--- a/tests/mesh/mesh_processes.h
+++ b/tests/mesh/mesh_processes.h
@@ -13,12 +13,14 @@
 
 constexpr codec::Limits message_limits = {16 * 1024, 64 * 1024 * 1024};
 
+enum class Heartbeats { automatic, by_the_test };
+
 // An application server: answers each request with its service's name, at length where the path ends in
 // "/long", and sends heartbeats to the sidecar beside it.
 class ApplicationServer {
  public:
   ApplicationServer(Loop& loop, std::string service, std::string address, std::string control,
-                    std::set<std::string>& arrived)
+                    std::set<std::string>& arrived, Heartbeats heartbeats = Heartbeats::automatic)
       : loop_(loop),
         acceptor_(loop.io),
         service_(std::move(service)),
@@ -30,9 +32,10 @@
         loop.io,
         rpc::accept(acceptor_, loop.sockets, message_limits, [this](auto c) { return serve(std::move(c)); }),
         asio::detached);
-    asio::co_spawn(loop.io, send_heartbeats(), asio::detached);
+    if (heartbeats == Heartbeats::automatic) asio::co_spawn(loop.io, send_heartbeats(), asio::detached);
   }
   const std::string& service() const { return service_; }
+  const std::string& address() const { return address_; }
 
  private:
   static constexpr int long_pieces = 20;
@@ -96,14 +99,15 @@
 // A sidecar's process with its settings file.
 class Sidecar {
  public:
-  Sidecar(Loop& loop, const Core& core, int n, std::string service, std::set<std::string>& arrived)
+  Sidecar(Loop& loop, const Core& core, int n, std::string service, std::set<std::string>& arrived,
+          Heartbeats heartbeats = Heartbeats::automatic)
       : loop_(loop),
         core_(core),
         ip_(core.ip(n)),
         log_(fmt::format("{}/sidecar-{}.log", core.folder().string(), n)),
         file_(fmt::format("{}/sidecar-{}.json", core.folder().string(), n)),
         daemon_(loop.io),
-        server_(loop, std::move(service), at(4), at(0), arrived) {}
+        server_(loop, std::move(service), at(4), at(0), arrived, heartbeats) {}
 
   void start() {
     write_settings();
@@ -126,6 +130,8 @@
     return found;
   }
   rehearse::Daemon& process() { return daemon_; }
+  const ApplicationServer& server() const { return server_; }
+  tcp::endpoint control() const { return node::endpoint_of(at(0)); }
   tcp::endpoint outbound() const { return node::endpoint_of(at(1)); }
   tcp::endpoint readiness() const { return node::endpoint_of(at(2)); }
 
