A successor that a late heartbeat displaced after a restart is reinstated

Cause: after a restart a sidecar knows no earlier instance. A late heartbeat of a crashed predecessor, behind the first one of the present server, was taken for a successor's, and the present server's heartbeats were passed over for good.

Change: an earlier instance that goes on sending heartbeats is reinstated once the present one has been silent for two heartbeat periods; an instance that starts out draining displaces nobody.

--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -73,10 +73,9 @@
   if (same && (server.sequence <= server_.sequence || departed_))
     return !departed_ && server.sequence == server_.sequence;
   if (!same) {
-    if (std::find(earlier_instances_.begin(), earlier_instances_.end(), server.id) !=
-        earlier_instances_.end())
-      return false;
-    if (!server_.id.empty()) earlier_instances_.push_back(server_.id);
+    if (!displaces_present(now, server)) return false;
+    std::erase_if(earlier_instances_, [&](const EarlierInstance& e) { return e.id == server.id; });
+    if (!server_.id.empty()) earlier_instances_.push_back({server_.id, server_.sequence});
     if (earlier_instances_.size() > max_earlier_instances) earlier_instances_.pop_front();
     // A sidecar that has just started doesn't know what the one before it sent within this second.
     const bool sidecar_restarted = server_.id.empty() && server.sequence > 1;
@@ -92,6 +91,18 @@
   return true;
 }
 
+// An unknown instance is taken for the successor. After a restart of this process it may as well be one that
+// ended before the present one started.
+bool AdmissionController::displaces_present(std::int64_t now, const Server& server) const {
+  const auto earlier = std::find_if(earlier_instances_.begin(), earlier_instances_.end(),
+                                    [&](const EarlierInstance& e) { return e.id == server.id; });
+  const bool is_present_silent = now - server_.last_heartbeat > longest_silence_;
+  // No instance starts out draining: this one was here before.
+  if (server.draining && has_server() && !is_present_silent) return false;
+  if (earlier == earlier_instances_.end()) return true;
+  return !server.draining && is_present_silent && server.sequence > earlier->sequence;
+}
+
 void AdmissionController::on_departure(const std::string& id) {
   if (id == server_.id) departed_ = true;
 }
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -56,8 +56,15 @@
     double body_bytes = 0;               // of a streamed body, as announced
   };
 
+  // An instance that is silent for longer may have been displaced by a late heartbeat of an earlier one.
+  static constexpr std::int64_t default_longest_silence = 3'000'000;
+
+  explicit AdmissionController(std::int64_t longest_silence = default_longest_silence)
+      : longest_silence_(longest_silence) {}
+
   // Records a heartbeat. Returns false for one that is out of date: an older sequence number of the present
-  // instance, or any of an earlier instance.
+  // instance, or any of an earlier instance. An earlier one is reinstated if it goes on sending heartbeats
+  // while the present one has been silent for `longest_silence`: then it was the present one that came late.
   bool on_heartbeat(std::int64_t now, Server server, std::int64_t warmup_left);
   // Records that instance `id` has ended.
   void on_departure(const std::string& id);
@@ -94,6 +101,12 @@
   void on_finished(std::int64_t now, int others, std::int64_t duration);
 
  private:
+  struct EarlierInstance {
+    std::string id;
+    std::uint64_t sequence = 0;  // of its last heartbeat
+  };
+  // Whether a heartbeat of an instance other than the present one makes that the present one.
+  bool displaces_present(std::int64_t now, const Server& server) const;
   bool warmup_exhausted(std::int64_t now, const Limits& limits);
   double expected_duration(int others) const;
   bool link_overloaded(const Limits& limits, const RequestInfo& request) const;
@@ -102,7 +115,8 @@
 
   Server server_;
   bool departed_ = false;
-  std::deque<std::string> earlier_instances_;  // the last few
+  std::deque<EarlierInstance> earlier_instances_;  // the last few
+  std::int64_t longest_silence_;
   std::int64_t assumed_warmup_until_ = 0;
   std::int64_t no_warmup_request_until_ = 0;
   int in_progress_ = 0;
--- a/src/sidecar/inbound_proxy.cpp
+++ b/src/sidecar/inbound_proxy.cpp
@@ -12,6 +12,8 @@
 }
 
 namespace {
+constexpr int missed_heartbeats_until_silent = 2;
+
 ConnectionOptions at_server() {
   ConnectionOptions m;
   m.dial_limit = 300ms;
@@ -25,6 +27,7 @@
                            tcp::endpoint application)
     : settings_(settings),
       upstream_(io, sockets, application, at_server()),
+      admission_(missed_heartbeats_until_silent * settings.heartbeat_period),
       plan_(std::make_shared<configuration::RouteTable>()) {
   sockets.evict_by([this] { return upstream_.evict(); });
 }
--- a/tests/mesh/admission_test.cpp
+++ b/tests/mesh/admission_test.cpp
@@ -63,6 +63,22 @@
   CHECK(RejectReason::none == g.check(51, "c19", {}, usual));
 }
 
+// Guards against a successor that is passed over for good: after a restart a late heartbeat of its
+// predecessor came behind its own first one.
+TEST(Admission, an_instance_that_goes_on_sending_heartbeats_is_reinstated_and_a_late_one_is_not) {
+  AdmissionController g(3 * second);
+  CHECK(g.on_heartbeat(0, server("b", 7), 0));
+  CHECK(g.on_heartbeat(second, server("a", 40), 0));  // late: it ended before "b" started
+  CHECK_FALSE(g.on_heartbeat(2 * second, server("b", 8), 0));
+  CHECK(g.on_heartbeat(4 * second + 1, server("b", 9), 0));
+  CHECK(RejectReason::none == g.check(4 * second + 2, "b", {}, usual));
+  CHECK_FALSE(g.on_heartbeat(5 * second, server("a", 41), 0));  // a further late one: "b" is heard
+  CHECK(RejectReason::none == g.check(5 * second + 1, "b", {}, usual));
+  CHECK_FALSE(g.on_heartbeat(30 * second, server("a", 40), 0));  // one that was counted before
+  CHECK_FALSE(g.on_heartbeat(30 * second, server("a", 42, true), 0));
+  CHECK_FALSE(AdmissionController(g).on_heartbeat(6 * second, server("c", 9, true), 0));  // nor one unknown
+}
+
 TEST(Admission, of_an_emptied_zone_nothing_passes_and_the_server_is_doubted_when_it_is_taken_back) {
   AdmissionController g;
   g.on_heartbeat(0, server("a", 1), 0);
