Tests: crowds of clients outside the limits, at each port of real processes

Need: clients that we do not control ended a process by its memory.

Change: group Crowd, 44 tests, each a test of CTest's that runs apart from other load: ten kinds of crowd (250 connections, 900 idle ones, for 3 s) at the sidecar's outbound, inbound, control and readiness ports and at the core's control port. The settings say memory_mb 64 and file_limit 700; the bounds are these. Judged: memory (resident, and arrived but unread) and descriptors of all three processes, that they live, and that ordinary callers are answered afterwards. Under the sanitizers memory is not judged, as theirs is a multiple.

--- /dev/null
+++ b/tests/mesh/crowd.h
@@ -0,0 +1,167 @@
+// Clients outside the limits: connections that each send, or fail to read, as one kind of crowd does. Bounded
+// in number and in time.
+#pragma once
+
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "processes.h"
+
+namespace robinpin::mesh_test {
+
+enum class CrowdKind {
+  idle_connections,        // more than the descriptors allow
+  endless_header_value,    // one header whose value never ends
+  endless_header_lines,    // short header lines without end
+  almost_whole_heads,      // 48 KB of short header lines, then nothing
+  empty_lines,             // empty lines without end before a request
+  slow_readers,            // of long answers
+  pipelined_unread,        // requests for long answers one behind another, answers never read
+  bodies_short_of_a_byte,  // with a length, all but the last byte
+  chunks_short_of_an_end,  // the same in pieces of 64 KiB without a length
+  one_byte_chunks,         // pieces of one byte without end
+};
+
+// Where a crowd connects, and the requests that are sent there.
+struct CrowdTarget {
+  tcp::endpoint to;
+  std::string long_answer;     // the head of a request for a long answer, whole
+  std::string body_request;    // the head of a request with a body, without its length and its end
+  std::size_t body_bytes = 0;  // of such a body, legal at this port
+};
+
+class Crowd {
+ public:
+  static constexpr int connections = 250;
+  static constexpr int idle_connections = 900;  // beyond `file_limit`
+  static constexpr std::chrono::seconds duration{3};
+
+  Crowd(Loop& loop, CrowdKind kind, CrowdTarget target)
+      : loop_(loop), kind_(kind), target_(std::move(target)), until_(steady::now() + duration) {}
+
+  // Starts all connections. Each lasts until it is closed or its time is over.
+  void start() {
+    const int count = kind_ == CrowdKind::idle_connections ? idle_connections : connections;
+    for (int n = 0; n < count; ++n) {
+      ++running_;
+      asio::co_spawn(loop_.io, behave(), [this](std::exception_ptr) { --running_; });
+    }
+  }
+  bool is_over() const { return running_ == 0; }
+
+ private:
+  using Socket = std::shared_ptr<tcp::socket>;
+
+  awaitable<void> behave() {
+    const auto socket = std::make_shared<tcp::socket>(loop_.io);
+    const auto end = std::make_shared<asio::steady_timer>(loop_.io, until_);
+    end->async_wait([socket](asio::error_code cancelled) {
+      asio::error_code ignored;
+      if (!cancelled) socket->close(ignored);
+    });
+    asio::error_code error;
+    co_await socket->async_connect(target_.to, asio::redirect_error(asio::use_awaitable, error));
+    if (!error) co_await misbehave(socket);
+    if (socket->is_open() && kind_ != CrowdKind::idle_connections) co_await read_until_closed(socket);
+    if (socket->is_open()) co_await stand_still(socket);
+    end->cancel();
+  }
+
+  awaitable<void> misbehave(Socket socket) {
+    static const std::string request_line = "GET /p0/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: c\r\n";
+    switch (kind_) {
+      case CrowdKind::idle_connections:
+        break;
+      case CrowdKind::endless_header_value:
+        co_await send_once(socket, request_line + "X-Long: ");
+        co_await send_without_end(socket, std::string(16'384, 'v'));
+        break;
+      case CrowdKind::endless_header_lines:
+        co_await send_once(socket, request_line);
+        co_await send_without_end(socket, header_lines(16'384));
+        break;
+      case CrowdKind::almost_whole_heads:
+        co_await send_once(socket, request_line + header_lines(48'000));
+        co_await stand_still(socket);
+        break;
+      case CrowdKind::empty_lines:
+        co_await send_without_end(socket, repeated("\r\n", 16'384));
+        break;
+      case CrowdKind::slow_readers:
+        co_await send_once(socket, target_.long_answer);
+        co_await read_slowly(socket);
+        break;
+      case CrowdKind::pipelined_unread:
+        co_await send_without_end(socket, repeated(target_.long_answer, 16'384));
+        break;
+      case CrowdKind::bodies_short_of_a_byte:
+        co_await send_once(
+            socket, fmt::format("{}Content-Length: {}\r\n\r\n", target_.body_request, target_.body_bytes));
+        co_await send_bytes(socket, target_.body_bytes - 1, std::string(65'536, 'b'));
+        co_await stand_still(socket);
+        break;
+      case CrowdKind::chunks_short_of_an_end:
+        co_await send_once(socket, target_.body_request + "Transfer-Encoding: chunked\r\n\r\n");
+        co_await send_bytes(socket, target_.body_bytes, "10000\r\n" + std::string(65'536, 'b') + "\r\n");
+        co_await stand_still(socket);
+        break;
+      case CrowdKind::one_byte_chunks:
+        co_await send_once(socket, target_.body_request + "Transfer-Encoding: chunked\r\n\r\n");
+        co_await send_without_end(socket, repeated("1\r\nb\r\n", 16'384));
+        break;
+    }
+  }
+
+  static std::string repeated(const std::string& text, std::size_t least_bytes) {
+    std::string all;
+    while (all.size() < least_bytes) all += text;
+    return all;
+  }
+  static std::string header_lines(std::size_t least_bytes) { return repeated("a: b\r\n", least_bytes); }
+
+  awaitable<void> send_once(Socket socket, std::string bytes) {
+    asio::error_code error;
+    co_await asio::async_write(*socket, asio::buffer(bytes),
+                               asio::redirect_error(asio::use_awaitable, error));
+  }
+  awaitable<void> send_without_end(Socket socket, std::string bytes) {
+    for (asio::error_code error; !error;)
+      co_await asio::async_write(*socket, asio::buffer(bytes),
+                                 asio::redirect_error(asio::use_awaitable, error));
+  }
+  awaitable<void> send_bytes(Socket socket, std::size_t total, std::string piece) {
+    asio::error_code error;
+    for (std::size_t sent = 0; sent < total && !error; sent += piece.size()) {
+      const auto part = asio::buffer(piece, std::min(piece.size(), total - sent));
+      co_await asio::async_write(*socket, part, asio::redirect_error(asio::use_awaitable, error));
+    }
+  }
+  // 2 KB a second.
+  awaitable<void> read_slowly(Socket socket) {
+    std::array<char, 200> bytes{};
+    for (asio::error_code error; !error;) {
+      co_await socket->async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+      asio::steady_timer pause(loop_.io, 100ms);
+      co_await pause.async_wait(asio::use_awaitable);
+    }
+  }
+  awaitable<void> read_until_closed(Socket socket) {
+    std::array<char, 4'096> bytes{};
+    for (asio::error_code error; !error;)
+      co_await socket->async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+  }
+  awaitable<void> stand_still(Socket) {
+    asio::steady_timer pause(loop_.io, until_);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+
+  Loop& loop_;
+  const CrowdKind kind_;
+  const CrowdTarget target_;
+  const steady::time_point until_;
+  int running_ = 0;
+};
+
+}  // namespace robinpin::mesh_test
--- /dev/null
+++ b/tests/mesh/crowd_test.cpp
@@ -0,0 +1,238 @@
+// Clients that stay inside no limit, at each port of real processes whose settings name low limits. Whatever
+// they do: the process lives, its memory stays within `memory_mb` and its descriptors within `file_limit`,
+// and an ordinary caller is answered afterwards. No time and no share of served requests is judged.
+#include "crowd.h"
+#include "help.h"
+#include "mesh_processes.h"
+#include "resource_usage.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace robinpin;
+using namespace robinpin::mesh_test;
+
+namespace {
+
+constexpr int memory_mb = 64;
+constexpr int file_limit = 700;
+constexpr std::size_t megabyte = 1024 * 1024;
+constexpr int many_routes = 3'000;  // a configuration whose text is long
+constexpr auto limit = 30s;         // for what has to come, on a slow machine too
+
+enum class Port { outbound, inbound, sidecar_control, readiness, core_control };
+
+// A core, a sidecar with an application server that answers, and a sidecar of callers.
+class Play {
+ public:
+  Play() : core_(loop_, 74) {
+    core_.memory_mb = memory_mb;
+    core_.file_limit = file_limit;
+  }
+  ~Play() {
+    for (auto* sidecar : {callers_.get(), servers_.get()})
+      if (sidecar) sidecar->process().kill();
+  }
+  Play(const Play&) = delete;
+  Play& operator=(const Play&) = delete;
+
+  // What was broken, a line each.
+  std::string run(Port port, CrowdKind kind) {
+    bool over = false;
+    asio::co_spawn(loop_.io, whole(port, kind), [&](std::exception_ptr thrown) {
+      if (thrown) expect(false, "the play threw");
+      over = true;
+    });
+    while (!over) loop_.io.run_one();
+    return faults_;
+  }
+
+ private:
+  struct ObservedProcess {
+    std::string name;
+    pid_t pid = 0;
+    std::string ip;
+    ResourceUsage most;
+  };
+
+  void expect(bool holds, const std::string& otherwise) {
+    if (!holds) faults_ += "\n" + otherwise;
+  }
+
+  awaitable<void> whole(Port port, CrowdKind kind) {
+    co_await begin(port == Port::core_control ? many_routes : 3);
+    if (!faults_.empty()) co_return;
+    Crowd crowd(loop_, kind, target_at(port));
+    crowd.start();
+    std::vector<ObservedProcess> processes = observed_processes();
+    while (!crowd.is_over()) {
+      for (ObservedProcess& process : processes) observe(process);
+      co_await core_.span(20ms);
+    }
+    for (const ObservedProcess& process : processes) expect_within_limits(process);
+    co_await expect_ordinary_callers_are_answered();
+    expect(core_.running(1), "the core has ended");
+    expect(callers_->process().running(), "the callers' sidecar has ended");
+    expect(servers_->process().running(), "the server's sidecar has ended");
+  }
+
+  awaitable<void> begin(int routes) {
+    core_.begin(1);
+    servers_ = std::make_unique<Sidecar>(loop_, core_, 20, "one", arrived_);
+    callers_ = std::make_unique<Sidecar>(loop_, core_, 21, "callers", arrived_);
+    for (Sidecar* sidecar : {servers_.get(), callers_.get()}) {
+      sidecar->memory_mb = memory_mb;
+      sidecar->file_limit = file_limit;
+      sidecar->start();
+    }
+    co_await expect_adjusted(first_call("00000007", routes));
+    co_await expect_adjusted(one_route("00000009", "one"));
+    co_await expect_ordinary_callers_are_answered();
+  }
+
+  std::vector<ObservedProcess> observed_processes() {
+    return {{"core", core_.pid(1), core_.ip(1), {}},
+            {"callers' sidecar", callers_->process().pid(), callers_->ip(), {}},
+            {"server's sidecar", servers_->process().pid(), servers_->ip(), {}}};
+  }
+  static void observe(ObservedProcess& process) {
+    const ResourceUsage now = usage_of(process.pid, process.ip);
+    process.most.memory = std::max(process.most.memory, now.memory);
+    process.most.descriptors = std::max(process.most.descriptors, now.descriptors);
+  }
+  void expect_within_limits(const ObservedProcess& process) {
+    const std::size_t memory = process.most.memory / megabyte, descriptors = process.most.descriptors;
+    fmt::print("{}: at most {} MB, {} descriptors\n", process.name, memory, descriptors);
+#ifndef ROBINPIN_SANITIZED  // the sanitizers' own memory is a multiple of the program's
+    expect(memory <= memory_mb, fmt::format("{}: memory was {} MB of {}", process.name, memory, memory_mb));
+#endif
+    expect(descriptors <= file_limit,
+           fmt::format("{}: descriptors were {} of {}", process.name, descriptors, file_limit));
+  }
+
+  CrowdTarget target_at(Port port) {
+    const std::string mesh_headers = fmt::format(
+        "X-Attempt-Id: crowd\r\nX-Remaining-Ms: 20000\r\nX-Target-Instance: i-{}\r\nX-Mesh-Deadline-Ms: "
+        "20000\r\nX-Mesh-Aim-Ms: 20000\r\n",
+        servers_->ip());
+    const std::string client_headers = "Host: a.example\r\nX-Attempt-Id: crowd\r\nX-Remaining-Ms: 20000\r\n";
+    const std::string json = "Host: c\r\nContent-Type: application/json\r\n";
+    switch (port) {
+      case Port::outbound:
+        return {callers_->outbound(), "GET /p0/large HTTP/1.1\r\n" + client_headers + "\r\n",
+                "POST /p0/x HTTP/1.1\r\n" + client_headers, 4 * megabyte};
+      case Port::inbound:
+        return {servers_->inbound(), "GET /p0/large HTTP/1.1\r\n" + mesh_headers + "\r\n",
+                "POST /p0/x HTTP/1.1\r\n" + mesh_headers, 4 * megabyte};
+      case Port::sidecar_control:
+        return {callers_->control(), "GET /v1/status HTTP/1.1\r\n" + json + "\r\n",
+                "POST /v1/Servers.Heartbeat/i-crowd HTTP/1.1\r\n" + json, 64'000};
+      case Port::readiness:
+        return {callers_->readiness(), "GET /v1/readiness HTTP/1.1\r\n" + json + "\r\n",
+                "POST /v1/readiness HTTP/1.1\r\n" + json, 64'000};
+      case Port::core_control:
+        break;
+    }
+    return {core_endpoint(), "GET /v1/Configuration.Read HTTP/1.1\r\n" + json + "\r\n",
+            "POST /v1/Configuration.Adjust HTTP/1.1\r\n" + json, 16'000'000};
+  }
+  tcp::endpoint core_endpoint() const {
+    return {asio::ip::make_address(core_.ip(1)), std::uint16_t(core_.control_port())};
+  }
+
+  awaitable<void> expect_ordinary_callers_are_answered() {
+    co_await expect_answer(core_endpoint(), "GET", "/v1/Configuration.Read");
+    co_await expect_answer(callers_->readiness(), "GET", "/v1/readiness");
+    co_await expect_answer(callers_->control(), "GET", "/v1/status");
+    co_await expect_answer(callers_->outbound(), "GET", "/p0/x");
+  }
+  awaitable<void> expect_adjusted(std::string body) {
+    co_await expect_answer(core_endpoint(), "POST", "/v1/Configuration.Adjust", body);
+  }
+  // A caller tries again until it is answered.
+  awaitable<void> expect_answer(tcp::endpoint to, std::string method, std::string path,
+                                std::string body = "") {
+    int status = 0;
+    for (const auto until = steady::now() + limit; status != 200 && steady::now() < until;) {
+      status = co_await call(to, method, path, body);
+      if (status != 200) co_await core_.span(20ms);
+    }
+    expect(status == 200, fmt::format("{} {} is answered {} in the end", method, path, status));
+  }
+  // The status; 0: no answer.
+  awaitable<int> call(tcp::endpoint to, std::string method, std::string path, std::string body) {
+    const auto c = std::make_shared<node::Connection>(tcp::socket(loop_.io), loop_.sockets, HTTP_RESPONSE,
+                                                      message_limits);
+    c->limit(steady::now() + 5s);
+    asio::error_code error = co_await c->connect(to);
+    const std::string head = fmt::format(
+        "{} {} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nX-Attempt-Id: r{}\r\nX-Remaining-Ms: "
+        "4000\r\nContent-Length: {}\r\n\r\n",
+        method, path, ++requests_, body.size());
+    std::size_t written = 0;
+    if (!error) error = co_await c->write(head, body, written);
+    if (!error) co_await c->read(error);
+    co_return error ? 0 : c->in.status();
+  }
+
+  Loop loop_;
+  Core core_;
+  std::set<std::string> arrived_;
+  std::unique_ptr<Sidecar> servers_, callers_;
+  int requests_ = 0;
+  std::string faults_;
+};
+
+void expect_held(Port port, CrowdKind kind) { STRCMP_EQUAL("", Play().run(port, kind).c_str()); }
+
+}  // namespace
+
+TEST_GROUP(Crowd){};
+
+// Each guards against a process that clients outside the limits make outgrow its memory or its descriptors.
+#define CROWD_AT(port, kind) \
+  TEST(Crowd, port##_##kind) { expect_held(Port::port, CrowdKind::kind); }
+
+CROWD_AT(outbound, idle_connections)
+CROWD_AT(outbound, endless_header_value)
+CROWD_AT(outbound, endless_header_lines)
+CROWD_AT(outbound, almost_whole_heads)
+CROWD_AT(outbound, empty_lines)
+CROWD_AT(outbound, slow_readers)
+CROWD_AT(outbound, pipelined_unread)
+CROWD_AT(outbound, bodies_short_of_a_byte)
+CROWD_AT(outbound, chunks_short_of_an_end)
+CROWD_AT(outbound, one_byte_chunks)
+CROWD_AT(inbound, idle_connections)
+CROWD_AT(inbound, endless_header_value)
+CROWD_AT(inbound, endless_header_lines)
+CROWD_AT(inbound, almost_whole_heads)
+CROWD_AT(inbound, empty_lines)
+CROWD_AT(inbound, slow_readers)
+CROWD_AT(inbound, pipelined_unread)
+CROWD_AT(inbound, bodies_short_of_a_byte)
+CROWD_AT(inbound, chunks_short_of_an_end)
+CROWD_AT(inbound, one_byte_chunks)
+CROWD_AT(sidecar_control, idle_connections)
+CROWD_AT(sidecar_control, endless_header_value)
+CROWD_AT(sidecar_control, endless_header_lines)
+CROWD_AT(sidecar_control, almost_whole_heads)
+CROWD_AT(sidecar_control, empty_lines)
+CROWD_AT(sidecar_control, pipelined_unread)
+CROWD_AT(sidecar_control, bodies_short_of_a_byte)
+CROWD_AT(sidecar_control, chunks_short_of_an_end)
+CROWD_AT(sidecar_control, one_byte_chunks)
+CROWD_AT(readiness, idle_connections)
+CROWD_AT(readiness, endless_header_value)
+CROWD_AT(readiness, endless_header_lines)
+CROWD_AT(readiness, empty_lines)
+CROWD_AT(readiness, pipelined_unread)
+CROWD_AT(core_control, idle_connections)
+CROWD_AT(core_control, endless_header_value)
+CROWD_AT(core_control, endless_header_lines)
+CROWD_AT(core_control, almost_whole_heads)
+CROWD_AT(core_control, empty_lines)
+CROWD_AT(core_control, slow_readers)
+CROWD_AT(core_control, pipelined_unread)
+CROWD_AT(core_control, bodies_short_of_a_byte)
+CROWD_AT(core_control, chunks_short_of_an_end)
+CROWD_AT(core_control, one_byte_chunks)
