Explorer: a read's text is taken from the outcome, shared or not

Change: the world compares `text()`. The check is as strict: the same text is held against the same states.

--- a/tests/mesh/simulated_world.h
+++ b/tests/mesh/simulated_world.h
@@ -851,7 +851,7 @@
       if (l.status >= 0 || at.incarnation != incarnation || !at.store || at.store->died) return;
       if (o.status != 503 && at.now - l.began >= patience)
         fail("answered " + std::to_string(o.status) + " past its time");
-      l.status = o.status, l.body = std::move(o.body), l.until = truth_.top();
+      l.status = o.status, l.body = o.text(), l.until = truth_.top();
       answered_.push_back(id);
     };
     n.keep->submit(n.now, c.order, done, out);
