--- a/tests/commands_test.cpp
+++ b/tests/commands_test.cpp
@@ -173,7 +173,8 @@
 
 TEST_CASE(
     "a running node takes a new file whole or not at all, says so once, and ends its records when told to "
-    "end") {
+    "end",
+    "[processes]") {
   const Folder f;
   const int port = free_port(), control = free_port();
   f.write("n.json", terms(port, 1, control));
@@ -265,7 +266,8 @@
 
 }  // namespace
 
-TEST_CASE("terms switched there and back while txns are out: each has one answer, no server sees one twice") {
+TEST_CASE("terms switched there and back while txns are out: each has one answer, no server sees one twice",
+          "[processes]") {
   const Folder f;
   SlowServer server;
   const int port = free_port(), control = free_port(), at = server.acceptor.local_endpoint().port();
@@ -332,7 +334,8 @@
 
 TEST_CASE(
     "a node replaced under load loses no txn, sends none twice and turns none back, one killed half-way "
-    "leaves it") {
+    "leaves it",
+    "[processes]") {
   const Folder f;
   SlowServer server;
   asio::io_context io;
@@ -478,7 +481,8 @@
 
 TEST_CASE(
     "a list with nothing new keeps no replacement waiting: it asks for the whole list, not after its file's "
-    "version") {
+    "version",
+    "[processes]") {
   const Folder f;
   ListService list(ListService::manner::as_said);
   replaced(f, list.port());
@@ -489,7 +493,8 @@
 
 TEST_CASE(
     "a list that says nothing, or a byte now and then, holds a replacement up by the same while, starved or "
-    "not") {
+    "not",
+    "[processes]") {
   const Folder f;
   ListService list(GENERATE(ListService::manner::silent, ListService::manner::dribbles));
   const auto free = replaced(f, list.port()), starved = replaced(f, list.port(), 2000ms);
--- a/tests/fleet_play_test.cpp
+++ b/tests/fleet_play_test.cpp
@@ -68,7 +68,8 @@
 }  // namespace
 
 TEST_CASE(
-    "a voter cut off with the old holder of a value neither reads as if fresh nor writes, and comes back") {
+    "a voter cut off with the old holder of a value neither reads as if fresh nor writes, and comes back",
+    "[processes]") {
   // Long enough that callers who wait for the one cut off come by the others again, on a slow machine too.
   std::string longer = three;
   longer.replace(longer.find("\"4s\""), 4, "\"6s\"");
@@ -80,7 +81,8 @@
   CHECK(done_at(o, 0, 0, 1'000'000) > 0);
 }
 
-TEST_CASE("a majority that is cut off leaves nobody who can read or write, all go on by themselves") {
+TEST_CASE("a majority that is cut off leaves nobody who can read or write, all go on by themselves",
+          "[processes]") {
   const FleetOutcome o =
       played("no-majority", three + fault("cut", "800ms", "1500ms", "who = [\"n1\", \"n2\"]") +
                                 fault("refused", "2500ms", "800ms", "who = [\"n3\"]"));
@@ -88,20 +90,21 @@
   CHECK(o.written > 0);
 }
 
-TEST_CASE(
-    "all voters are killed at once in the middle of writes, and nothing that was acknowledged is lost") {
+TEST_CASE("all voters are killed at once in the middle of writes, and nothing that was acknowledged is lost",
+          "[processes]") {
   const FleetOutcome o = played("all-killed", three + fault("kill", "1s", "200ms", "count = 3") +
                                                   fault("kill", "2500ms", "100ms", "count = 2"));
   CHECK(o.written > 20);
 }
 
-TEST_CASE("two voters of three stand still for longer than any call waits, and go on") {
+TEST_CASE("two voters of three stand still for longer than any call waits, and go on", "[processes]") {
   played("stopped", three + fault("stop", "800ms", "2500ms", "count = 2"));
 }
 
 TEST_CASE(
     "ways that lose one direction, dribble, reset and bring calls twice: every answer is still true, with "
-    "five voters") {
+    "five voters",
+    "[processes]") {
   const std::string five =
       "length = \"5s\"\n[fleet]\nvoters = 5\nnodes = 7\nbeat = \"60ms\"\n[callers]\ncount = 5\nregisters = "
       "2\npace = \"10ms\"\n";
@@ -113,26 +116,26 @@
   CHECK(o.written > 20);
 }
 
-TEST_CASE("six who write one register at once outbid each other, and get on all the same") {
+TEST_CASE("six who write one register at once outbid each other, and get on all the same", "[processes]") {
   const FleetOutcome o = played("outbid",
                                 "length = \"3s\"\n[fleet]\nvoters = 3\nnodes = 6\nbeat = "
                                 "\"60ms\"\n[callers]\ncount = 6\nregisters = 1\npace = \"1ms\"\n");
   CHECK(o.written > 10);
 }
 
-TEST_CASE("a voter that lost its disk has no vote until it is let in as its own successor") {
+TEST_CASE("a voter that lost its disk has no vote until it is let in as its own successor", "[processes]") {
   const FleetOutcome o =
       played("disk-lost", three + fault("kill", "800ms", "300ms", "who = [\"n2\"]\ndisk = \"lost\"") +
                               "[expect]\nall_vote = true\n");
   CHECK(o.written > 0);
 }
 
-TEST_CASE("a voter on an older copy of its store does not vote") {
+TEST_CASE("a voter on an older copy of its store does not vote", "[processes]") {
   played("disk-older", three + fault("kill", "500ms", "300ms", "who = [\"n3\"]\ndisk = \"older\"") +
                            "[expect]\nall_vote = true\n");
 }
 
-TEST_CASE("a voter is replaced while registers are written, and the old one stays alive") {
+TEST_CASE("a voter is replaced while registers are written, and the old one stays alive", "[processes]") {
   const FleetOutcome o = played("replaced",
                                 "length = \"4s\"\n[fleet]\nvoters = 3\nnodes = 5\nspares = 1\nbeat = "
                                 "\"60ms\"\n[callers]\ncount = 5\nregisters = 2\npace = \"10ms\"\n" +
@@ -144,7 +147,8 @@
 #ifndef __SANITIZE_ADDRESS__  // its runtime wants to be loaded first
 TEST_CASE(
     "a voter whose disk does not sync, or is full, votes no more until it is started anew, clocks that stray "
-    "change nothing") {
+    "change nothing",
+    "[processes]") {
   const FleetOutcome o =
       played("disks",
              three + fault("sync-fails", "500ms", "800ms", "who = [\"n1\"]") +
@@ -156,7 +160,7 @@
 }
 #endif
 
-TEST_CASE("a play whose fault meets nothing is void") {
+TEST_CASE("a play whose fault meets nothing is void", "[processes]") {
   const FleetPlanRead r = read_fleet_plan("p", three + fault("cut", "1s", "1ms", "who = [\"n4\"]"));
   REQUIRE(r.good());
   FleetPlan quiet = r.plan;
@@ -168,7 +172,7 @@
              Contains("met nothing"));
 }
 
-TEST_CASE("without [fleet] a node has no listener, thread, file or page of it") {
+TEST_CASE("without [fleet] a node has no listener, thread, file or page of it", "[processes]") {
   const auto& at = folder().path;
   std::filesystem::create_directories(at / "alone");
   asio::io_context io;
--- a/tests/rehearse_test.cpp
+++ b/tests/rehearse_test.cpp
@@ -126,8 +126,8 @@
   CHECK_THAT(config::text("p", read_plan("p", small, {"load"}).faults), Contains("no key=value"));
 }
 
-TEST_CASE(
-    "a daemon that floods its log neither waits nor fills the disk, one that ignores SIGTERM is ended") {
+TEST_CASE("a daemon that floods its log neither waits nor fills the disk, one that ignores SIGTERM is ended",
+          "[processes]") {
   const Folder f;
   asio::io_context io;
   Daemon d(io);
@@ -155,7 +155,8 @@
   CHECK(d.ended() == 127);
 }
 
-TEST_CASE("two tiers through real nodes: all is served, and the judge saw every try and posting") {
+TEST_CASE("two tiers through real nodes: all is served, and the judge saw every try and posting",
+          "[processes]") {
   const Outcome o = played(small);
   INFO(told(o));
   CHECK(o.verdict.rules_kept());
@@ -165,7 +166,8 @@
   CHECK(o.verdict.postings >= o.verdict.txns * 2);
 }
 
-TEST_CASE("nodes told to end and killed, boxes dead, silent and resetting, a list behind: no rule breaks") {
+TEST_CASE("nodes told to end and killed, boxes dead, silent and resetting, a list behind: no rule breaks",
+          "[processes]") {
   const Outcome o = played(small + R"(
 [[fault]]
 what = "list-behind"
@@ -208,13 +210,15 @@
 }
 
 // No machine is on time to a hundredth of a microsecond.
-TEST_CASE("a kit that is short of processor says by how much it ran late, and the run is void") {
+TEST_CASE("a kit that is short of processor says by how much it ran late, and the run is void",
+          "[processes]") {
   const Outcome o = played("length = \"1s\"\nwarm_up = \"0ms\"\n[kit]\nlate_p99 = \"1us\"\n" +
                            small.substr(small.find("[load]")));
   CHECK_THAT(o.void_because, Contains("the kit ran late") && Contains("limit 1us"));
 }
 
-TEST_CASE("a client's retry that crosses the answer on its way is a try of its own, and no rule breaks") {
+TEST_CASE("a client's retry that crosses the answer on its way is a try of its own, and no rule breaks",
+          "[processes]") {
   std::string text = small +
                      "[[fault]]\nwhat = \"hanging\"\nat = \"1s\"\nfor = \"1500ms\"\n[clients]\nwait = "
                      "\"0ms\"\ntry_share = 0.4\n[net]\nclient = \"0ms\"\n";
@@ -231,7 +235,7 @@
 }
 
 // Its mix and pacing, twice as fast; what is not of the plan's schemes is passed over.
-TEST_CASE("a node's records are played again") {
+TEST_CASE("a node's records are played again", "[processes]") {
   const Folder f;
   std::ofstream(f.path / "r.jsonl") << [] {
     std::string lines;
@@ -251,7 +255,7 @@
   CHECK(o.verdict.rules_kept());
 }
 
-TEST_CASE("the baselines play the same plans by the same rules") {
+TEST_CASE("the baselines play the same plans by the same rules", "[processes]") {
   for (const policy by : {policy::random, policy::least}) {
     const Outcome o = played(small, by);
     INFO(told(o));
@@ -292,7 +296,7 @@
   CHECK((d.pairs == 3 && d.mean == Approx(2) && d.either_side == Approx(4.303 / std::sqrt(3.0))));
 }
 
-TEST_CASE("an address that is taken is named, and nothing is left running") {
+TEST_CASE("an address that is taken is named, and nothing is left running", "[processes]") {
   asio::io_context io;
   tcp::acceptor taken(io);
   taken.open(tcp::v4());
