Tests: addresses of real processes are drawn with the process id, too

Cause: all crowds draw their network from one seed. Side by side they would look at the same address at once, and both might take it for free.

Change: the process id goes into the seed of the addresses, which seeds nothing else.

--- a/tests/mesh/processes.h
+++ b/tests/mesh/processes.h
@@ -60,7 +60,10 @@
   static constexpr int most = 9;                        // addresses
   std::string control_plane_command = "control-plane";  // by which processes are started
   int memory_mb = 256, file_limit = 1024;               // as the settings say from the next start on
-  Core(Loop& loop, std::uint32_t seed) : loop_(loop), chance_(seed) {
+  Core(Loop& loop, std::uint32_t seed) : loop_(loop) {
+    // With the process, as tests with one seed run side by side.
+    std::seed_seq addresses{seed, std::uint32_t(::getpid())};
+    chance_.seed(addresses);
     // In memory where that can be had: a sync that others hold up for seconds would be a fault that no play
     // means.
     std::string name =
@@ -223,7 +226,7 @@
   }
 
   Loop& loop_;
-  std::mt19937 chance_;
+  std::mt19937 chance_;  // of addresses alone
   std::filesystem::path folder_;
   std::string net_;
   int control_ = 0, inner_ = 0;
