Tests: crowds whose bodies are whole, and JSON that takes a multiple of its text

Group Crowd played such as stop short of their end.

The settings and bounds are those of the group.

--- a/tests/mesh/crowd.h
+++ b/tests/mesh/crowd.h
@@ -22,6 +22,10 @@
   bodies_short_of_a_byte,  // with a length, all but the last byte
   chunks_short_of_an_end,  // the same in pieces of 64 KiB without a length
   one_byte_chunks,         // pieces of one byte without end
+  whole_bodies,            // of the longest legal size, one behind another
+  bodies_of_many_values,   // whole, JSON of as many values as fit in
+  bodies_nested_deeply,    // whole, JSON lists in lists
+  bodies_of_long_names,    // whole, JSON records whose fields have long names
 };
 
 // Where a crowd connects, and the requests that are sent there.
@@ -111,8 +115,50 @@
         co_await send_once(socket, target_.body_request + "Transfer-Encoding: chunked\r\n\r\n");
         co_await send_without_end(socket, repeated("1\r\nb\r\n", 16'384));
         break;
+      case CrowdKind::whole_bodies:
+      case CrowdKind::bodies_of_many_values:
+      case CrowdKind::bodies_nested_deeply:
+      case CrowdKind::bodies_of_long_names:
+        co_await send_whole_bodies(socket);
+        break;
+    }
+  }
+
+  // As many as the other side takes: it is one text for all connections, as the crowd has no memory for more.
+  awaitable<void> send_whole_bodies(Socket socket) {
+    const std::string head =
+        fmt::format("{}Content-Length: {}\r\n\r\n", target_.body_request, target_.body_bytes);
+    asio::co_spawn(loop_.io, read_until_closed(socket), asio::detached);
+    for (asio::error_code error; !error;) {
+      const std::array<asio::const_buffer, 2> request{asio::buffer(head), asio::buffer(whole_body())};
+      co_await asio::async_write(*socket, request, asio::redirect_error(asio::use_awaitable, error));
     }
   }
+  const std::string& whole_body() {
+    if (whole_body_.empty()) whole_body_ = body_of(kind_, target_.body_bytes);
+    return whole_body_;
+  }
+  static std::string body_of(CrowdKind kind, std::size_t bytes) {
+    switch (kind) {
+      case CrowdKind::bodies_of_many_values:
+        return padded("[" + repeated("0,", bytes - 16) + "0]", bytes);
+      case CrowdKind::bodies_nested_deeply:
+        return std::string(bytes, '[');
+      case CrowdKind::bodies_of_long_names: {
+        const std::string name(bytes / 2, 'n');
+        const std::string records = repeated(R"(["a","00000001",0],)", bytes / 4);
+        return padded(R"({"apply":{"targets":{"axes":["label","revision",")" + name + R"("],"records":[)" +
+                          records + R"(["a","00000001",0]]}}})",
+                      bytes);
+      }
+      default:
+        return std::string(bytes, 'b');
+    }
+  }
+  static std::string padded(std::string text, std::size_t bytes) {
+    text.resize(bytes, ' ');
+    return text;
+  }
 
   static std::string repeated(const std::string& text, std::size_t least_bytes) {
     std::string all;
@@ -160,6 +206,7 @@
   Loop& loop_;
   const CrowdKind kind_;
   const CrowdTarget target_;
+  std::string whole_body_;
   const steady::time_point until_;
   int running_ = 0;
 };
