A call's JSON is measured before it is parsed, and its records are read one at a time

Seen in group Crowd (whole bodies of 16 MB at the core's control port, 64 MB of memory): 289 MB for a list of zeros, 405 MB for lists in lists, 6,840 MB and the end of the core for records whose field has a name of 8 MB. A single call of the last kind is enough.

Cause: the account of what is held for peers knew a call's text alone. The parser takes 16 bytes and more a value, depth was looked at after it, and each record repeats the names of its fields, all rows at once.

Change: a pass that keeps nothing counts values, texts and depth; the account reserves what reading takes, then what the call's items hold until it is answered (503 without room, 413 beyond the account). At most 256 fields a table and 256 bytes a name (400), 24 MB of items a call (413). Heartbeats are parsed without recursion. Calls are read from the request's own text.

Measured: the three crowds 32, 40 and 40 MB of 64; a change of nearly 4 MB is taken in calm with 28 MB (new test).

--- a/src/app/control_plane_process.cpp
+++ b/src/app/control_plane_process.cpp
@@ -18,6 +18,7 @@
 using asio::awaitable;
 using control_plane::OperatorRequest;
 using control_plane::RequestOutcome;
+using control_plane::ValidatedCall;
 using event_log::EventType;
 using RequestKind = OperatorRequest::what;
 
@@ -69,9 +70,7 @@
 
  private:
   void register_calls() {
-    control_server_.handle<rpc::Adjust>([this](rpc::Adjust call) {
-      return execute({RequestKind::adjust, std::move(call.body)});
-    });
+    control_server_.handle<rpc::Adjust>([this](rpc::Adjust call) { return adjust(call.body); });
     control_server_.handle<rpc::Read>([this](rpc::Read) { return execute({RequestKind::read, {}}); });
     control_server_.handle<rpc::Evacuation<true>>([this](rpc::Evacuation<true> call) {
       return execute_for_zone(RequestKind::begin, std::move(call.zone));
@@ -111,7 +110,26 @@
     co_return co_await execute(std::move(request));
   }
 
+  // A call is read only where the account has room for what that takes, and holds its items until it ends.
+  awaitable<rpc::Reply> adjust(std::string_view body) {
+    constexpr auto use = node::MemoryAccount::Use::ordinary;
+    node::MemoryAccount::Reservation held(memory_account_);
+    const std::size_t needed = configuration::bytes_to_read(body);
+    if (needed > memory_account_->limit())
+      co_return rpc::Reply{413, R"({"fault":"more values than this core has memory for"})", {}};
+    if (!held.resize(needed, use)) co_return no_memory();
+    ValidatedCall call(configuration::read_call(body));
+    if (!held.resize(call.bytes(), use)) co_return no_memory();
+    co_return co_await execute(RequestKind::adjust, std::move(call));
+  }
+  static rpc::Reply no_memory() { return {503, R"({"fault":"no memory for the call"})", {}}; }
+
   awaitable<rpc::Reply> execute(OperatorRequest request) {
+    const RequestKind kind = request.is;
+    return execute(kind, ValidatedCall(std::move(request)));
+  }
+
+  awaitable<rpc::Reply> execute(RequestKind kind, ValidatedCall call) {
     struct PendingOutcome {
       explicit PendingOutcome(asio::io_context& io)
           : arrived(io, std::chrono::steady_clock::time_point::max()) {}
@@ -119,11 +137,10 @@
       std::optional<RequestOutcome> outcome;
     };
     const auto pending = std::make_shared<PendingOutcome>(io_);
-    const RequestKind kind = request.is;
     const std::int64_t begun = now();
     gossip::Outbox out;
     replicated_state_.submit(
-        now(), std::move(request),
+        now(), std::move(call),
         [pending](RequestOutcome outcome) {
           pending->outcome = std::move(outcome);
           pending->arrived.cancel();
--- a/src/configuration/configuration_change.cpp
+++ b/src/configuration/configuration_change.cpp
@@ -11,6 +11,8 @@
 #include <map>
 #include <set>
 
+#include "json_measure.h"
+
 namespace robinpin::configuration {
 
 namespace {
@@ -19,22 +21,13 @@
 using Out = rapidjson::Writer<rapidjson::StringBuffer>;
 constexpr std::size_t most_faults = 50;
 constexpr long long longest_deadline = 600'000'000;  // ten minutes
-constexpr double longest_span = 1e15;  // microseconds: beyond any use, and far from what a count holds
-constexpr int deepest = 16;
+constexpr double longest_span = 1e15;    // microseconds: beyond any use, and far from what a count holds
+constexpr std::size_t most_levels = 16;  // of lists and objects in a call
+// For each JSON value: itself, as the parser moves it twice, and what is read from it.
+constexpr std::size_t bytes_per_value = 96;
 
 std::string_view text_of(const Value& v) { return {v.GetString(), v.GetStringLength()}; }
 
-bool too_deep(const Value& v, int depth) {
-  if (depth > deepest) return true;
-  if (v.IsArray())
-    for (const Value& x : v.GetArray())
-      if (too_deep(x, depth + 1)) return true;
-  if (v.IsObject())
-    for (const auto& m : v.GetObject())
-      if (too_deep(m.value, depth + 1)) return true;
-  return false;
-}
-
 bool read_version(const Value* v, std::uint64_t& version) {
   if (!v || !v->IsString() || v->GetStringLength() != 8) return false;
   const char* end = v->GetString() + 8;
@@ -45,22 +38,28 @@
 // One record as an object of its own, nulls left out.
 struct Row {
   std::string pointer;
-  std::map<std::string, const Value*, std::less<>> fields;
+  std::map<std::string_view, const Value*> fields;
   const Value* get(std::string_view name) const {
     const auto it = fields.find(name);
     return it == fields.end() ? nullptr : it->second;
   }
 };
 
+// Records that share the names of their fields.
+struct Table {
+  std::string records_at;
+  std::vector<std::string_view> names;
+  const Value* records = nullptr;  // a list, or null
+};
+
 class Reader {
  public:
   explicit Reader(ConfigurationChange& change) : change_(change) {}
 
   void read(std::string_view body) {
     constexpr unsigned flags = rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag;
-    // To the parser a zero byte is the end, whatever comes behind it.
-    if (body.find('\0') != body.npos || doc_.Parse<flags>(body.data(), body.size()).HasParseError() ||
-        !doc_.IsObject() || too_deep(doc_, 0))
+    if (!measure_json(body, most_levels) || doc_.Parse<flags>(body.data(), body.size()).HasParseError() ||
+        !doc_.IsObject())
       return fault("", "no JSON object, whole");
     const Value* apply = rapidjson::Pointer("/apply").Get(doc_);
     const Value* remove = rapidjson::Pointer("/remove").Get(doc_);
@@ -68,11 +67,11 @@
       if (part && !part->IsNull() && !part->IsObject()) fault(name, "no object");
     if (!apply && !remove) fault("", "neither apply nor remove");
     if (!change_.faults.empty()) return;
-    const auto channels = rows("/apply/channels"), targets = rows("/apply/targets");
-    for (const Row& r : targets) target(r);
+    const Table channels = table("/apply/channels"), targets = table("/apply/targets");
+    each_row(targets, [this](const Row& r) { target(r); });
     std::set<std::string, std::less<>> dropped;
     drops("/remove/targets", target_mark, &dropped);
-    for (const Row& r : channels) channel(r);
+    each_row(channels, [this](const Row& r) { channel(r); });
     drops("/remove/channels", channel_mark, nullptr);
     saturation();
   }
@@ -83,35 +82,46 @@
       change_.faults.push_back({std::move(pointer), std::move(reason)});
   }
 
-  std::vector<Row> rows(const std::string& at) {
-    std::vector<Row> found;
+  Table table(const std::string& at) {
+    Table found;
     const Value* list = rapidjson::Pointer(at.c_str(), at.size()).Get(doc_);
     if (!list || list->IsNull()) return found;
-    const std::string axes_at = at + "/axes", records_at = at + "/records";
+    const std::string axes_at = at + "/axes";
+    found.records_at = at + "/records";
     const Value* axes = rapidjson::Pointer(axes_at.c_str(), axes_at.size()).Get(doc_);
-    const Value* records = rapidjson::Pointer(records_at.c_str(), records_at.size()).Get(doc_);
+    const Value* records = rapidjson::Pointer(found.records_at.c_str(), found.records_at.size()).Get(doc_);
     if (!axes || !axes->IsArray()) return fault(axes_at, "no list of fields"), found;
-    if (!records || !records->IsArray()) return fault(records_at, "no list of records"), found;
-    std::vector<std::string> names;
+    if (!records || !records->IsArray()) return fault(found.records_at, "no list of records"), found;
+    if (axes->Size() > max_fields) return fault(axes_at, "more than 256 fields"), found;
     for (const Value& name : axes->GetArray()) {
       if (!name.IsString()) return fault(axes_at, "a field's name is no text"), found;
-      if (std::find(names.begin(), names.end(), text_of(name)) != names.end())
+      if (name.GetStringLength() > max_field_name_bytes)
+        return fault(axes_at, "a field's name is longer than 256 bytes"), found;
+      if (std::find(found.names.begin(), found.names.end(), text_of(name)) != found.names.end())
         return fault(axes_at, "a field is named twice"), found;
-      names.emplace_back(text_of(name));
+      found.names.push_back(text_of(name));
     }
+    found.records = records;
+    return found;
+  }
+
+  // One at a time: all rows of a call would take a multiple of its text.
+  template <typename Use>
+  void each_row(const Table& table, const Use& use) {
+    if (!table.records) return;
     std::size_t n = 0;
-    for (const Value& record : records->GetArray()) {
+    for (const Value& record : table.records->GetArray()) {
+      if (change_.is_too_long) return;
       Row row;
-      row.pointer = records_at + "/" + std::to_string(n++);
-      if (!record.IsArray() || record.Size() != names.size()) {
+      row.pointer = table.records_at + "/" + std::to_string(n++);
+      if (!record.IsArray() || record.Size() != table.names.size()) {
         fault(row.pointer, "not as many values as axes");
         continue;
       }
       for (rapidjson::SizeType i = 0; i < record.Size(); ++i)
-        if (!record[i].IsNull()) row.fields[names[i]] = &record[i];
-      found.push_back(std::move(row));
+        if (!record[i].IsNull()) row.fields[table.names[i]] = &record[i];
+      use(row);
     }
-    return found;
   }
 
   bool named(const Row& r, std::string_view mark, VersionedItem& item) {
@@ -134,7 +144,15 @@
     }
     out.EndObject();
     item.text = buffer.GetString();
-    change_.items.push_back(std::move(item));
+    add(std::move(item));
+  }
+
+  void add(VersionedItem item) {
+    bytes_ += item.name.size() + item.text.size();
+    if (bytes_ > max_call_bytes)
+      change_.is_too_long = true;
+    else
+      change_.items.push_back(std::move(item));
   }
 
   void target(const Row& r) {
@@ -211,6 +229,7 @@
     if (!list->IsArray()) return fault(at, "no list");
     std::size_t n = 0;
     for (const Value& v : list->GetArray()) {
+      if (change_.is_too_long) return;
       const std::string here = at + "/" + std::to_string(n++);
       const Value* label = v.IsObject() ? rapidjson::Pointer("/label").Get(v) : nullptr;
       VersionedItem item;
@@ -222,7 +241,7 @@
       else {
         item.name = std::string(mark) + std::string(text_of(*label));
         if (names) names->insert(item.name);
-        change_.items.push_back(std::move(item));
+        add(std::move(item));
       }
     }
   }
@@ -248,10 +267,11 @@
     Out out(buffer);
     s->Accept(out);
     item.text = buffer.GetString();
-    change_.items.push_back(std::move(item));
+    add(std::move(item));
   }
 
   ConfigurationChange& change_;
+  std::size_t bytes_ = 0;  // of all items
   rapidjson::Document doc_;
   std::set<std::string, std::less<>> called_;  // services that the call itself brings
 };
@@ -324,10 +344,25 @@
   return text;
 }
 
+std::size_t ConfigurationChange::bytes() const {
+  std::size_t sum = 0;
+  for (const VersionedItem& item : items) sum += sizeof item + item.name.size() + item.text.size();
+  for (const ServiceReference& need : needs) sum += sizeof need + need.service.size() + need.pointer.size();
+  for (const ValidationError& fault : faults)
+    sum += sizeof fault + fault.pointer.size() + fault.reason.size();
+  return sum;
+}
+
+std::size_t bytes_to_read(std::string_view body) {
+  const std::optional<JsonMeasure> measure = measure_json(body, most_levels);
+  return measure ? measure->values * bytes_per_value + measure->text_bytes : 0;
+}
+
 ConfigurationChange read_call(std::string_view body) {
   ConfigurationChange change;
   Reader(change).read(body);
-  if (!change.faults.empty()) change.items.clear(), change.needs.clear();
+  const bool is_refused = change.is_too_long || !change.faults.empty();
+  if (is_refused) change.items = {}, change.needs = {};
   return change;
 }
 
--- a/src/configuration/configuration_change.h
+++ b/src/configuration/configuration_change.h
@@ -24,8 +24,19 @@
   std::vector<VersionedItem> items;
   std::vector<ServiceReference> needs;
   std::vector<ValidationError> faults;  // all of them; with any, no item may take effect
+  bool is_too_long = false;             // more items than can ever stand: none of them is here
+
+  std::size_t bytes() const;  // held by all of these
 };
 
+// Bounds on one call.
+constexpr std::size_t max_fields = 256;            // names of fields in one table of records
+constexpr std::size_t max_field_name_bytes = 256;  // of each
+constexpr std::size_t max_call_bytes = ConfigurationStore::most_bytes;  // names and texts of all its items
+
+// Bytes that reading this call takes at most, beside those of its text.
+std::size_t bytes_to_read(std::string_view body);
+
 // Read by itself: whether its services are known is for who holds the state.
 ConfigurationChange read_call(std::string_view body);
 // The same, held against a copy of the state.
--- a/src/control_plane/replicated_state.h
+++ b/src/control_plane/replicated_state.h
@@ -76,6 +76,7 @@
   void set_seeds(const std::vector<Machine>& seeds) { seeds_ = seeds; }
   // Queues an operator's request. `done` may be called before this returns.
   void submit(std::int64_t now, OperatorRequest request, Done done, Outbox& out);
+  void submit(std::int64_t now, ValidatedCall call, Done done, Outbox& out);
   void on_datagram(std::int64_t now, Machine from, std::string_view datagram, Outbox& out);
   // To be called about every 100 ms, and at next_deadline().
   void tick(std::int64_t now, Outbox& out);
--- a/src/control_plane/request_processing.cpp
+++ b/src/control_plane/request_processing.cpp
@@ -21,10 +21,14 @@
 }  // namespace
 
 void ReplicatedState::submit(std::int64_t now, OperatorRequest request, Done done, Outbox& out) {
+  submit(now, ValidatedCall(std::move(request)), std::move(done), out);
+}
+
+void ReplicatedState::submit(std::int64_t now, ValidatedCall call, Done done, Outbox& out) {
   expire_requests(now);
   if (storage_failure_ || requests_.size() >= max_pending_requests || voters().version == 0)
     return done(not_available);
-  requests_.push_back({ValidatedCall(std::move(request)), std::move(done), now + request_timeout, false, {}});
+  requests_.push_back({std::move(call), std::move(done), now + request_timeout, false, {}});
   process_requests(now, out);
 }
 
--- a/src/control_plane/request_validation.cpp
+++ b/src/control_plane/request_validation.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 const RequestOutcome success{200, "{}"};
+const RequestOutcome too_many_bytes{413, R"({"fault":"one call brings at most 4,000,000 bytes of items"})"};
 std::size_t size_of(const configuration::VersionedItem& i) { return i.name.size() + i.text.size(); }
 static_assert(max_item_bytes + gossip::full_datagram < gossip::longest_datagram);
 }  // namespace
@@ -55,6 +56,9 @@
     argument_ = std::move(order.text);
 }
 
+ValidatedCall::ValidatedCall(configuration::ConfigurationChange change)
+    : is_(OperatorRequest::what::adjust), change_(std::move(change)) {}
+
 namespace {
 
 // Sets or drops an item whose version counts its changes. No change where it stands so already.
@@ -104,6 +108,7 @@
       break;
   }
   if (!change_.faults.empty()) return {400, configuration::faults_as_json(change_.faults)};
+  if (change_.is_too_long) return too_many_bytes;
   StateView after = view;
   std::vector<configuration::ValidationError> clashes, faults;
   std::vector<bool> changes;
@@ -128,8 +133,7 @@
   }
   if (!faults.empty()) return {400, configuration::faults_as_json(faults)};
   if (!clashes.empty()) return {409, configuration::faults_as_json(clashes)};
-  if (bytes > max_change_bytes)
-    return {413, R"({"fault":"one call brings at most 4,000,000 bytes of items"})"};
+  if (bytes > max_change_bytes) return too_many_bytes;
   if (bytes > 0 &&
       (after.standing() > configuration::ConfigurationStore::most_items ||
        after.bytes() > configuration::ConfigurationStore::most_bytes) &&
--- a/src/control_plane/request_validation.h
+++ b/src/control_plane/request_validation.h
@@ -62,9 +62,11 @@
 class ValidatedCall {
  public:
   explicit ValidatedCall(OperatorRequest order);
+  explicit ValidatedCall(configuration::ConfigurationChange change);
   // Adds all its changes to `view`; none where the returned status is not 200.
   RequestOutcome evaluate(StateView& view) const;
   bool reads() const { return is_ == OperatorRequest::what::read; }
+  std::size_t bytes() const { return argument_.size() + change_.bytes(); }
 
  private:
   RequestOutcome retire(StateView& view) const;
--- a/src/rpc/calls.h
+++ b/src/rpc/calls.h
@@ -40,8 +40,9 @@
 
   static std::optional<Heartbeat> read(std::string_view argument, std::string_view body) {
     rapidjson::Document document;
-    if (argument.empty() || document.Parse(body.data(), body.size()).HasParseError() || !document.IsObject())
-      return std::nullopt;
+    // Iterative, as lists in lists would take the stack of a recursive parser.
+    document.Parse<rapidjson::kParseIterativeFlag>(body.data(), body.size());
+    if (argument.empty() || document.HasParseError() || !document.IsObject()) return std::nullopt;
     Heartbeat heartbeat;
     heartbeat.id = argument;
     heartbeat.target = text_at(document, "/target");
@@ -88,10 +89,8 @@
 struct Adjust {
   static constexpr std::string_view method = "POST", path = "/v1/Configuration.Adjust";
   using Answer = Reply;
-  std::string body;
-  static std::optional<Adjust> read(std::string_view, std::string_view body) {
-    return Adjust{std::string(body)};
-  }
+  std::string_view body;  // of the request, which stands until it is answered
+  static std::optional<Adjust> read(std::string_view, std::string_view body) { return Adjust{body}; }
 };
 
 // Reads the whole configuration.
--- a/tests/mesh/configuration_test.cpp
+++ b/tests/mesh/configuration_test.cpp
@@ -180,6 +180,40 @@
   CHECK(configuration::span_of("999999999999999999s") < 0);
 }
 
+namespace {
+std::string targets_with(const std::string& third_field, std::size_t records) {
+  std::string call =
+      R"({"apply":{"targets":{"axes":["label","revision",")" + third_field + R"("],"records":[)";
+  for (std::size_t n = 0; n < records; ++n)
+    call += (n ? "," : "") + std::string(R"(["l)") + std::to_string(n) + R"(","00000001",0])";
+  return call + "]}}}";
+}
+}  // namespace
+
+// Guards against a call whose items are a multiple of its text: each record repeats the names of its fields.
+TEST(Configuration, long_or_many_names_of_fields_are_refused_and_so_is_more_than_can_stand) {
+  const auto read = [](const std::string& body) { return configuration::read_call(body); };
+  CHECK(read(targets_with(std::string(configuration::max_field_name_bytes, 'n'), 3)).faults.empty());
+  CHECK(faulty(targets_with(std::string(configuration::max_field_name_bytes + 1, 'n'), 3), "longer than"));
+  std::string names = "f0";
+  for (std::size_t n = 1; n < configuration::max_fields; ++n) names += "\",\"f" + std::to_string(n);
+  CHECK(faulty(targets_with(names, 1), "more than 256 fields"));
+
+  const std::string name(configuration::max_field_name_bytes, 'n');
+  const std::size_t more_than_stand = configuration::max_call_bytes / name.size();
+  const configuration::ConfigurationChange too_long = read(targets_with(name, more_than_stand));
+  CHECK(too_long.is_too_long && too_long.items.empty());
+  CHECK_FALSE(read(targets_with(name, more_than_stand / 2)).is_too_long);
+}
+
+TEST(Configuration, what_a_call_takes_to_read_is_known_before_and_nothing_for_what_is_refused_unread) {
+  const std::string call = first_call("00000008");
+  CHECK(configuration::bytes_to_read(call) > configuration::read_call(call).bytes());
+  CHECK(configuration::bytes_to_read("[0,0,0,0]") > configuration::bytes_to_read("[0]"));
+  for (const std::string& unreadable : {std::string(100'000, '['), call + "x", std::string("[0\0]", 4)})
+    CHECK_EQUAL(0, configuration::bytes_to_read(unreadable));
+}
+
 TEST(Configuration, all_faults_of_a_call_are_told_at_once_with_their_places) {
   std::string call = edited(first_call("00000008"), "a.example", "");
   call = edited(call, "\"/p1/\",\"idempotent\"", "\"/p1/\",\"odd\"");
--- a/tests/mesh/crowd_test.cpp
+++ b/tests/mesh/crowd_test.cpp
@@ -6,6 +6,8 @@
 #include "mesh_processes.h"
 #include "resource_usage.h"
 
+#include "../../src/control_plane/request_validation.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace robinpin;
@@ -36,15 +38,8 @@
   Play& operator=(const Play&) = delete;
 
   // What was broken, a line each.
-  std::string run(Port port, CrowdKind kind) {
-    bool over = false;
-    asio::co_spawn(loop_.io, whole(port, kind), [&](std::exception_ptr thrown) {
-      if (thrown) expect(false, "the play threw");
-      over = true;
-    });
-    while (!over) loop_.io.run_one();
-    return faults_;
-  }
+  std::string run(Port port, CrowdKind kind) { return played(whole(port, kind)); }
+  std::string run_in_calm() { return played(longest_change_in_calm()); }
 
  private:
   struct ObservedProcess {
@@ -54,6 +49,32 @@
     ResourceUsage most;
   };
 
+  std::string played(awaitable<void> play) {
+    bool over = false;
+    asio::co_spawn(loop_.io, std::move(play), [&](std::exception_ptr thrown) {
+      if (thrown) expect(false, "the play threw");
+      over = true;
+    });
+    while (!over) loop_.io.run_one();
+    return faults_;
+  }
+
+  // A call of nearly `max_change_bytes`, and a core within its memory.
+  awaitable<void> longest_change_in_calm() {
+    co_await begin(3);
+    if (!faults_.empty()) co_return;
+    const std::size_t few = 1'000;
+    const std::size_t item_bytes = configuration::read_call(first_call("00000001", few)).bytes() / few;
+    const std::size_t many = control_plane::max_change_bytes / item_bytes;
+    std::vector<ObservedProcess> processes = observed_processes();
+    co_await expect_adjusted(first_call("0000000a", int(many)));
+    for (ObservedProcess& process : processes) {
+      observe(process);
+      expect_within_limits(process);
+    }
+    co_await expect_ordinary_callers_are_answered();
+  }
+
   void expect(bool holds, const std::string& otherwise) {
     if (!holds) faults_ += "\n" + otherwise;
   }
@@ -188,6 +209,9 @@
 
 TEST_GROUP(Crowd){};
 
+// Guards against limits on what peers hold that refuse a call inside the limits.
+TEST(Crowd, the_longest_change_is_taken_in_calm) { STRCMP_EQUAL("", Play().run_in_calm().c_str()); }
+
 // Each guards against a process that clients outside the limits make outgrow its memory or its descriptors.
 #define CROWD_AT(port, kind) \
   TEST(Crowd, port##_##kind) { expect_held(Port::port, CrowdKind::kind); }
