--- a/src/configuration/configuration_change.cpp
+++ b/src/configuration/configuration_change.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 #include <map>
 #include <set>
@@ -334,7 +335,7 @@
   const auto [stop, wrong] = std::from_chars(text.data(), text.data() + digits, n);
   if (wrong != std::errc() || stop != text.data() + digits) return -1;
   n *= unit == "s" ? 1e6 : 1e3;
-  return n < longest_span ? (long long)(n + 0.5) : -1;
+  return n < longest_span ? std::llround(n) : -1;
 }
 
 std::string version_text(std::uint64_t version) {
--- a/src/configuration/json_measure.cpp
+++ b/src/configuration/json_measure.cpp
@@ -45,7 +45,7 @@
 std::optional<JsonMeasure> measure_json(std::string_view text, std::size_t most_levels) {
   constexpr unsigned flags = rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag;
   // To the parser a zero byte is the end, whatever comes behind it.
-  if (text.find('\0') != text.npos) return std::nullopt;
+  if (text.find('\0') != std::string_view::npos) return std::nullopt;
   rapidjson::MemoryStream memory(text.data(), text.size());
   rapidjson::EncodedInputStream<rapidjson::UTF8<>, rapidjson::MemoryStream> stream(memory);
   rapidjson::Reader reader;
--- a/src/configuration/route_table.cpp
+++ b/src/configuration/route_table.cpp
@@ -30,7 +30,8 @@
 }
 
 std::string lowered(std::string_view host) {
-  if (const auto colon = host.rfind(':'); colon != host.npos && host.find(']', colon) == host.npos)
+  if (const auto colon = host.rfind(':');
+      colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos)
     host = host.substr(0, colon);
   std::string text(host);
   std::transform(text.begin(), text.end(), text.begin(),
@@ -73,7 +74,7 @@
   std::string path(target.substr(0, target.find_first_of("?#")));
   while (!path.empty()) {
     const auto slash = path.rfind('/');
-    if (slash == path.npos) break;
+    if (slash == std::string::npos) break;
     path.resize(slash + 1);
     if (const auto found = of_host->second.find(path); found != of_host->second.end())
       return found->second.get();
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -122,7 +122,7 @@
   a.cost = double(std::max(0LL, whole_number(m.header("Work-Hint"))));  // no more than a hint: else none
   a.said.repeat = m.header("Client-Retry") == "1";
   const std::string info = "," + std::string(m.header("Request-Info"));
-  if (const auto key = info.find(",key="); key != info.npos)
+  if (const auto key = info.find(",key="); key != std::string::npos)
     a.said.key = hashed(std::string_view(info).substr(key + 5, info.find(',', key + 5) - key - 5));
   a.outbound = outbound_of(m, kind == repeats::once_only);
   return a;
--- a/src/node/desk.cpp
+++ b/src/node/desk.cpp
@@ -26,7 +26,7 @@
 // to read late.
 Desk::visit Desk::take(const std::string& id, int scheme, int tenant, micros arrived, micros left,
                        double cost, limits::Taken route, Said said) {
-  const visit v(new Visit(io_, id, arrived, arrived + left));
+  visit v(new Visit(io_, id, arrived, arrived + left));
   v->place_ = std::move(route.place);
   visits_[id] = v;
   ++counters_.txns_taken;
--- a/src/node/fleet.cpp
+++ b/src/node/fleet.cpp
@@ -377,7 +377,7 @@
 Want reading(std::string name) { return {wish::read, std::move(name), 0, "", ""}; }
 
 std::string register_of(const read::value& o, bool writes) {
-  const std::string name = read::text(read::need(o, "name"), "name");
+  std::string name = read::text(read::need(o, "name"), "name");
   if (name.empty() || name.size() > longest_name)
     read::wrong(fmt::format("name is not from 1 to {} bytes", longest_name));
   if (writes && name == voters_register) read::wrong("the voters are changed by add, remove and replace");
--- a/src/records/facts.cpp
+++ b/src/records/facts.cpp
@@ -208,9 +208,10 @@
 }
 
 std::optional<Fact> read_fact(std::string_view line) {
-  rapidjson::Document d;
-  d.Parse<rapidjson::kParseIterativeFlag>(line.data(), line.size());
-  if (d.HasParseError() || !d.IsObject()) return std::nullopt;
+  rapidjson::Document document;
+  document.Parse<rapidjson::kParseIterativeFlag>(line.data(), line.size());
+  if (document.HasParseError() || !document.IsObject()) return std::nullopt;
+  const rapidjson::Document& d = document;
   const auto text = [&](const char* key, std::string& to) {
     const auto m = d.FindMember(key);
     if (m == d.MemberEnd()) return false;
--- a/src/sidecar/inbound_proxy.cpp
+++ b/src/sidecar/inbound_proxy.cpp
@@ -102,12 +102,13 @@
     upstream_.forget();
   } else if (f.how_far == came::answered) {
     const bool good = f.status >= 200 && f.status < 300;
+    const bool is_sealed = !f.header("X-Server-Seal").empty() && f.header("X-Attempt-Id") == request->id &&
+                           f.header("Content-Encoding").empty();
+    // `early`: an answer to what was not read whole.
+    const bool is_spoilt = f.early || (good && !is_sealed);
     if (!f.header("X-Not-Executed").empty() || f.status == 421) {
       r.how = outcome::refused;
-    } else if (f.early) {
-      r.why = "spoilt";  // an answer to what it has not read whole
-    } else if (good && (f.header("X-Server-Seal").empty() || f.header("X-Attempt-Id") != request->id ||
-                        !f.header("Content-Encoding").empty())) {
+    } else if (is_spoilt) {
       r.why = "spoilt";
     } else {
       r.how = outcome::answered;
--- a/src/sidecar/upstream_pool.cpp
+++ b/src/sidecar/upstream_pool.cpp
@@ -36,7 +36,7 @@
   static constexpr std::string_view version =
       "HTTP/1.";  // then a digit, a blank and a status: other values name versions, too
   const auto begins_another = [](std::string_view text) {
-    for (auto at = text.find(version); at != text.npos; at = text.find(version, at + 1))
+    for (auto at = text.find(version); at != std::string::npos; at = text.find(version, at + 1))
       if (const auto rest = text.substr(std::min(text.size(), at + version.size() + 1));
           rest.starts_with(' ') && codec::whole_number(rest.substr(1, 3)) >= 100)
         return true;
@@ -291,7 +291,7 @@
   // closed.
   auto keep = options_.idle_limit;
   if (const auto told_keep = c.in.header("Keep-Alive"); !told_keep.empty())
-    if (const auto at = told_keep.find("timeout="); at != told_keep.npos) {
+    if (const auto at = told_keep.find("timeout="); at != std::string_view::npos) {
       const auto digits = told_keep.substr(at + 8, told_keep.find_first_of(", ;", at + 8) - (at + 8));
       if (const auto s = codec::whole_number(digits); s >= 0)
         keep = std::min<steady::duration>(keep, std::chrono::seconds(s) * 8 / 10);
