Rehearsal of a fleet: spawned work no longer writes to its caller's dead stack

Cause: FleetStage::until ends early once a play is void, while the work that it waits for is still suspended and refers to a flag on the stack of a function that returns. The next turn of the loop wrote there.

Change: these results are shared by the work and who waits for it.

--- a/src/rehearse/fleet_stage.cpp
+++ b/src/rehearse/fleet_stage.cpp
@@ -157,6 +157,7 @@
     co_await t.async_wait(use_awaitable);
   }
 
+  // May end before what it waits for: work that was spawned must refer to nothing of its caller's stack.
   template <typename Condition>
   bool until(Condition condition, steady::duration limit) {
     const auto end = steady::now() + limit;
@@ -238,22 +239,20 @@
   }
 
   void found() {
-    bool done = false;
-    spawn([](FleetStage& s, bool& over) -> awaitable<void> {
-      while (!over) {
+    spawn([](FleetStage& s) -> awaitable<void> {
+      for (bool over = false; !over;) {
         const peer::Answer a = co_await s.order(0, Out().put("do", "init").put("within_ms", 3000).end(), 4s);
         over = a.how == peer::came::answered && (a.status == 200 || a.body.find("is founded") != a.body.npos);
         if (!over) co_await s.sleep(50'000);
       }
       for (std::size_t i = 0; i < s.nodes_.size(); ++i)
-        for (over = false; !over;) {
+        for (bool over = false; !over;) {
           const auto d = co_await s.status(i);
           over = d && read::flag(*d, "majority") && peer::count(*d, "voters_version") > 0;
           if (!over) co_await s.sleep(50'000);
         }
-      over = true;
       s.founded_ = true;
-    }(*this, done));
+    }(*this));
     if (!until([&] { return founded_; }, ready_limit))
       throw std::runtime_error(fmt::format("the fleet was not founded in 20 s{}; its logs are in {}",
                                            out_.void_because.empty() ? "" : ": " + out_.void_because,
@@ -574,9 +573,9 @@
   // ---- the end
 
   void come_back() {
-    bool over = false;
+    const auto over = std::make_shared<bool>(false);
     ++breaking_;
-    spawn([](FleetStage& s, bool& done) -> awaitable<void> {
+    spawn([](FleetStage& s, std::shared_ptr<bool> done) -> awaitable<void> {
       for (;;) {
         bool all = true;
         for (std::size_t i = 0; i < s.nodes_.size() && all; ++i) {
@@ -593,39 +592,41 @@
         if (all) break;
         co_await s.sleep(20'000);
       }
-      done = true;
+      *done = true;
       --s.breaking_;
     }(*this, over));
-    if (until([&] { return over; }, end_limit))
+    if (until([over] { return *over; }, end_limit))
       out_.returned = now() - healed_;
     else if (out_.void_because.empty())
       out_.broken.push_back("the fleet did not come back in 20 s after the last fault");
     if (!plan_.expect.all_vote.value) return;
-    bool asked = false;
-    std::string who;
-    spawn([](FleetStage& s, bool& done, std::string& not_voting) -> awaitable<void> {
+    struct VotesAtTheEnd {
+      bool asked = false;
+      std::string fault;
+    };
+    const auto votes = std::make_shared<VotesAtTheEnd>();
+    spawn([](FleetStage& s, std::shared_ptr<VotesAtTheEnd> found) -> awaitable<void> {
       const auto d = co_await s.status(0);
-      int votes = 0;
-      if (d) votes = int(read::need(*d, "voters").Size());
-      if (votes != s.plan_.voters)
-        not_voting = fmt::format("{} voters at the end, not {}", votes, s.plan_.voters);
+      const int voters = d ? int(read::need(*d, "voters").Size()) : 0;
+      if (voters != s.plan_.voters)
+        found->fault = fmt::format("{} voters at the end, not {}", voters, s.plan_.voters);
       for (std::size_t i = 0; i < s.nodes_.size(); ++i) {
         if (!s.nodes_[i]->stores) continue;
         const auto own = co_await s.status(i);
         const std::string vote = own ? read::text(*own, "vote", "") : "silent";
         if (vote != "votes" && vote != "no seat")
-          not_voting = fmt::format("{} at the end: {}", s.nodes_[i]->name, vote);
+          found->fault = fmt::format("{} at the end: {}", s.nodes_[i]->name, vote);
       }
-      done = true;
-    }(*this, asked, who));
-    if (!until([&] { return asked; }, 10s) || !who.empty())
-      out_.broken.push_back(who.empty() ? "nobody tells who votes" : who);
+      found->asked = true;
+    }(*this, votes));
+    if (!until([votes] { return votes->asked; }, 10s) || !votes->fault.empty())
+      out_.broken.push_back(votes->fault.empty() ? "nobody tells who votes" : votes->fault);
   }
 
   // Whatever was said of a write, all nodes read the same now; it is held against the history as all else.
   void last_reads() {
-    bool done = false;
-    spawn([](FleetStage& s, bool& over) -> awaitable<void> {
+    const auto done = std::make_shared<bool>(false);
+    spawn([](FleetStage& s, std::shared_ptr<bool> over) -> awaitable<void> {
       for (int r = 0; r < s.plan_.registers; ++r)
         for (std::size_t i = 0; i < s.nodes_.size(); ++i) {
           Deed d;
@@ -633,9 +634,9 @@
           d.where = fmt::format("r{}", r);
           co_await s.deed(i, d);
         }
-      over = true;
+      *over = true;
     }(*this, done));
-    if (!until([&] { return done; }, 15s) && out_.void_because.empty())
+    if (!until([done] { return *done; }, 15s) && out_.void_because.empty())
       out_.broken.push_back("registers can't be read at the end");
   }
 
