Names: a memory budget with its consumers, prefixes of items, targets of a route

Change: MemoryBudget, Consumer, has_capacity, ensure_capacity; target_prefix and its like, duration_of, Route::targets. Names alone; group MemoryAccount is MemoryBudget, its tests as they were.

--- a/src/app/control_plane_process.cpp
+++ b/src/app/control_plane_process.cpp
@@ -41,7 +41,7 @@
  public:
   ControlPlaneProcess(bootstrap::Settings initial_settings, std::string settings_path, ReplicaStore replica)
       : MeshProcess(std::move(initial_settings), std::move(settings_path), bootstrap::MachineKind::core),
-        sockets_(std::max(least_descriptors, settings.file_limit - reserved_descriptors), memory_account_),
+        sockets_(std::max(least_descriptors, settings.file_limit - reserved_descriptors), memory_budget_),
         replica_(std::move(replica)),
         replicated_state_(transport::parse_address(settings.ip), configuration_, gossip_, *replica_.store,
                           draw_random_seed_64(settings), {settings.contact_timeout}),
@@ -82,7 +82,7 @@
       return execute({RequestKind::size, std::move(call.count)});
     });
     control_server_.handle<rpc::Status>([this](rpc::Status) -> awaitable<rpc::Reply> {
-      const ProcessView process{settings, configuration_, gossip_, *transport_, *memory_account_, now()};
+      const ProcessView process{settings, configuration_, gossip_, *transport_, *memory_budget_, now()};
       co_return rpc::Reply{200, control_plane_status_json(process, replicated_state_), {}};
     });
     control_server_.handle<rpc::Readiness>([this](rpc::Readiness) -> awaitable<rpc::Acknowledgement> {
@@ -104,7 +104,7 @@
   // settings say by now, so that an evacuation can always be revoked, and a repeated call be acknowledged.
   awaitable<rpc::Reply> execute_for_zone(RequestKind kind, std::string zone) {
     if (!settings.may_be_zone(zone) &&
-        !configuration_.find(std::string(configuration::evacuation_mark) + zone))
+        !configuration_.find(std::string(configuration::evacuation_prefix) + zone))
       co_return rpc::Reply{404, R"({"fault":"the settings know no such zone"})", {}};
     OperatorRequest request{kind, std::move(zone)};
     co_return co_await execute(std::move(request));
@@ -112,14 +112,14 @@
 
   // A call is read only where the account has room for what that takes, and holds its items until it ends.
   awaitable<rpc::Reply> adjust(std::string_view body) {
-    constexpr auto use = node::MemoryAccount::Use::ordinary;
-    node::MemoryAccount::Reservation held(memory_account_);
+    constexpr auto use = node::MemoryBudget::Use::ordinary;
+    node::MemoryBudget::Reservation reservation(memory_budget_);
     const std::size_t needed = configuration::bytes_to_read(body);
-    if (needed > memory_account_->limit())
+    if (needed > memory_budget_->limit())
       co_return rpc::Reply{413, R"({"fault":"more values than this core has memory for"})", {}};
-    if (!held.resize(needed, use)) co_return no_memory();
+    if (!reservation.resize(needed, use)) co_return no_memory();
     ValidatedCall call(configuration::read_call(body));
-    if (!held.resize(call.bytes(), use)) co_return no_memory();
+    if (!reservation.resize(call.bytes(), use)) co_return no_memory();
     co_return co_await execute(RequestKind::adjust, std::move(call));
   }
   static rpc::Reply no_memory() { return {503, R"({"fault":"no memory for the call"})", {}}; }
--- a/src/app/instance_retirements.cpp
+++ b/src/app/instance_retirements.cpp
@@ -3,7 +3,7 @@
 namespace robinpin::app {
 
 bool InstanceRetirements::is_retired(const std::string& instance) const {
-  return configuration_.stands(std::string(configuration::retirement_mark) + instance);
+  return configuration_.stands(std::string(configuration::retirement_prefix) + instance);
 }
 
 bool InstanceRetirements::request(std::int64_t now, const std::string& instance,
--- a/src/app/mesh_process.cpp
+++ b/src/app/mesh_process.cpp
@@ -51,10 +51,10 @@
   return std::uint64_t(std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
 }
 
-std::shared_ptr<node::MemoryAccount> make_memory_account(const bootstrap::Settings& settings) {
+std::shared_ptr<node::MemoryBudget> make_memory_budget(const bootstrap::Settings& settings) {
   // The rest is the process's own: its code, its state, and what the allocator cannot use.
   constexpr double part_for_peers = 0.4;
-  return std::make_shared<node::MemoryAccount>(
+  return std::make_shared<node::MemoryBudget>(
       std::size_t(double(settings.memory_mb) * 1024 * 1024 * part_for_peers));
 }
 
@@ -75,7 +75,7 @@
                          bootstrap::MachineKind kind)
     : current_settings_(std::move(initial_settings)),
       event_log_(log_event),
-      memory_account_(make_memory_account(settings)),
+      memory_budget_(make_memory_budget(settings)),
       gossip_({transport::parse_address(settings.ip), settings.zone, kind == bootstrap::MachineKind::core},
               new_incarnation(), parse_machines(settings.seed_nodes), configuration_,
               draw_random_seed(settings)),
@@ -170,7 +170,7 @@
 }
 
 void MeshProcess::log_memory_shortage(std::int64_t at) {
-  const node::MemoryAccount& account = *memory_account_;
+  const node::MemoryBudget& account = *memory_budget_;
   const std::uint64_t refusals = account.refused() + account.evicted();
   if (refusals == logged_memory_refusals_ || at < next_memory_log_) return;
   logged_memory_refusals_ = refusals;
--- a/src/app/mesh_process.h
+++ b/src/app/mesh_process.h
@@ -11,7 +11,7 @@
 #include "../configuration/configuration_store.h"
 #include "../event_log/event_log.h"
 #include "../gossip/gossip.h"
-#include "../net/memory_account.h"
+#include "../net/memory_budget.h"
 #include "../transport/address.h"
 #include "../transport/udp_transport.h"
 #include "apply_throttle.h"
@@ -68,7 +68,7 @@
   asio::io_context io_;
   event_log::EventLog event_log_;
   // Of what this process holds for its peers, at all its ports.
-  const std::shared_ptr<node::MemoryAccount> memory_account_;
+  const std::shared_ptr<node::MemoryBudget> memory_budget_;
   configuration::ConfigurationStore configuration_;
   gossip::Gossip gossip_;
   std::unique_ptr<transport::UdpTransport> transport_;
--- a/src/app/sidecar_process.cpp
+++ b/src/app/sidecar_process.cpp
@@ -38,8 +38,8 @@
       : MeshProcess(std::move(initial_settings), std::move(settings_path), bootstrap::MachineKind::server),
         sockets_(
             std::max(least_descriptors, settings.file_limit - reserved_descriptors - control_descriptors),
-            memory_account_),
-        control_sockets_(control_descriptors, memory_account_),
+            memory_budget_),
+        control_sockets_(control_descriptors, memory_budget_),
         control_server_(io_, control_sockets_, control_call_limits),
         readiness_server_(io_, control_sockets_, control_call_limits),
         outbound_acceptor_(io_),
@@ -70,7 +70,7 @@
     control_server_.handle<rpc::Departure>(
         [this](rpc::Departure departure) { return on_departure(std::move(departure)); });
     control_server_.handle<rpc::Status>([this](rpc::Status) -> awaitable<rpc::Reply> {
-      const ProcessView process{settings, configuration_, gossip_, *transport_, *memory_account_, now()};
+      const ProcessView process{settings, configuration_, gossip_, *transport_, *memory_budget_, now()};
       co_return rpc::Reply{200, sidecar_status_json(process, outbound_proxy_, is_ready_), {}};
     });
     readiness_server_.handle<rpc::Readiness>([this](rpc::Readiness) -> awaitable<rpc::Acknowledgement> {
--- a/src/app/status_json.cpp
+++ b/src/app/status_json.cpp
@@ -44,7 +44,7 @@
   put_count(json, "datagram_bytes", transport.bytes_sent);
 }
 
-void put_memory(JsonWriter& json, const node::MemoryAccount& memory) {
+void put_memory(JsonWriter& json, const node::MemoryBudget& memory) {
   json.Key("peer_memory");
   json.StartObject();
   put_count(json, "limit", memory.limit());
--- a/src/app/status_json.h
+++ b/src/app/status_json.h
@@ -20,7 +20,7 @@
   const configuration::ConfigurationStore& configuration;
   const gossip::Gossip& gossip;
   const transport::UdpTransport& transport;
-  const node::MemoryAccount& memory;
+  const node::MemoryBudget& memory;
   std::int64_t now;
 };
 
--- a/src/bootstrap/settings.cpp
+++ b/src/bootstrap/settings.cpp
@@ -85,7 +85,7 @@
   void read_duration(const std::string& pointer, std::int64_t& microseconds) {
     const Value* value = find(pointer);
     if (!value) return;
-    const long long duration = value->IsString() ? configuration::span_of(text_of(*value)) : -1;
+    const long long duration = value->IsString() ? configuration::duration_of(text_of(*value)) : -1;
     if (duration < 0)
       add_fault(pointer, "no time like 1500ms or 2.5s");
     else
--- a/src/configuration/configuration_change.cpp
+++ b/src/configuration/configuration_change.cpp
@@ -22,8 +22,8 @@
 using Out = rapidjson::Writer<rapidjson::StringBuffer>;
 constexpr std::size_t most_faults = 50;
 constexpr long long longest_deadline = 600'000'000;  // ten minutes
-constexpr double longest_span = 1e15;    // microseconds: beyond any use, and far from what a count holds
-constexpr std::size_t most_levels = 16;  // of lists and objects in a call
+constexpr double longest_duration = 1e15;  // microseconds: beyond any use, and far from what a count holds
+constexpr std::size_t most_levels = 16;    // of lists and objects in a call
 // For each JSON value: itself, as the parser moves it twice, and what is read from it.
 constexpr std::size_t bytes_per_value = 96;
 
@@ -71,9 +71,9 @@
     const Table channels = table("/apply/channels"), targets = table("/apply/targets");
     each_row(targets, [this](const Row& r) { target(r); });
     std::set<std::string, std::less<>> dropped;
-    drops("/remove/targets", target_mark, &dropped);
+    drops("/remove/targets", target_prefix, &dropped);
     each_row(channels, [this](const Row& r) { channel(r); });
-    drops("/remove/channels", channel_mark, nullptr);
+    drops("/remove/channels", channel_prefix, nullptr);
     saturation();
   }
 
@@ -125,11 +125,11 @@
     }
   }
 
-  bool named(const Row& r, std::string_view mark, VersionedItem& item) {
+  bool named(const Row& r, std::string_view prefix, VersionedItem& item) {
     const Value* label = r.get("label");
     if (!label || !label->IsString() || label->GetStringLength() == 0 || label->GetStringLength() > 256)
       return fault(r.pointer, "label: no name"), false;
-    item.name = std::string(mark) + std::string(text_of(*label));
+    item.name = std::string(prefix) + std::string(text_of(*label));
     if (!read_version(r.get("revision"), item.version))
       return fault(r.pointer, "revision: not eight hexadecimal digits"), false;
     return true;
@@ -158,8 +158,8 @@
 
   void target(const Row& r) {
     VersionedItem item;
-    if (!named(r, target_mark, item)) return;
-    if (const Value* w = r.get("warmup"); w && (!w->IsString() || span_of(text_of(*w)) < 0))
+    if (!named(r, target_prefix, item)) return;
+    if (const Value* w = r.get("warmup"); w && (!w->IsString() || duration_of(text_of(*w)) < 0))
       fault(r.pointer, "warmup: no time");
     if (const Value* p = r.get("warmup_per_s"); p && (!p->IsNumber() || p->GetDouble() < 0))
       fault(r.pointer, "warmup_per_s: no rate");
@@ -171,7 +171,7 @@
 
   void knows(const Row& r, const Value& service) {
     if (!service.IsString()) return fault(r.pointer, "target: no name");
-    std::string name = std::string(target_mark) + std::string(text_of(service));
+    std::string name = std::string(target_prefix) + std::string(text_of(service));
     const bool brought = called_.contains(name);
     change_.needs.push_back(
         {change_.items.size(), std::move(name), r.pointer, brought});  // of the item that is about to be kept
@@ -179,7 +179,7 @@
 
   void channel(const Row& r) {
     VersionedItem item;
-    if (!named(r, channel_mark, item)) return;
+    if (!named(r, channel_prefix, item)) return;
     const Value* host = r.get("authority");
     if (!host || !host->IsString() || host->GetStringLength() == 0) fault(r.pointer, "authority: empty");
     const Value* prefix = r.get("path_prefix");
@@ -193,7 +193,7 @@
     const auto time = [&](const char* name, bool needed) {
       const Value* v = r.get(name);
       if (!v && !needed) return;
-      const long long span = v && v->IsString() ? span_of(text_of(*v)) : -1;
+      const long long span = v && v->IsString() ? duration_of(text_of(*v)) : -1;
       if (span <= 0 || span > longest_deadline)
         fault(r.pointer, std::string(name) + ": no time from 1 ms to ten minutes");
     };
@@ -201,14 +201,14 @@
     time("setpoint_time", false);
     if (const Value* t = r.get("tries"); t && (!t->IsInt64() || t->GetInt64() < 1))
       fault(r.pointer, "tries: below 1");
-    const Value *whole = r.get("target"), *split = r.get("distribution");
-    if (!whole && !split) fault(r.pointer, "target: names no service");
-    if (whole) knows(r, *whole);
-    if (split) shares(r, *split);
+    const Value *single = r.get("target"), *split = r.get("distribution");
+    if (!single && !split) fault(r.pointer, "target: names no service");
+    if (single) knows(r, *single);
+    if (split) distribution(r, *split);
     keep(r, std::move(item));
   }
 
-  void shares(const Row& r, const Value& split) {
+  void distribution(const Row& r, const Value& split) {
     if (!split.IsArray()) return fault(r.pointer, "distribution: no list");
     double sum = 0;
     for (const Value& s : split.GetArray()) {
@@ -224,7 +224,7 @@
     if (sum <= 0) fault(r.pointer, "distribution: the gains sum to 0");
   }
 
-  void drops(const std::string& at, std::string_view mark, std::set<std::string, std::less<>>* names) {
+  void drops(const std::string& at, std::string_view prefix, std::set<std::string, std::less<>>* names) {
     const Value* list = rapidjson::Pointer(at.c_str(), at.size()).Get(doc_);
     if (!list || list->IsNull()) return;
     if (!list->IsArray()) return fault(at, "no list");
@@ -240,7 +240,7 @@
       else if (!read_version(rapidjson::Pointer("/revision").Get(v), item.version))
         fault(here, "revision: not eight hexadecimal digits");
       else {
-        item.name = std::string(mark) + std::string(text_of(*label));
+        item.name = std::string(prefix) + std::string(text_of(*label));
         if (names) names->insert(item.name);
         add(std::move(item));
       }
@@ -258,7 +258,7 @@
       fault(at, "revision: not eight hexadecimal digits");
     for (const char* name : {"/header", "/idle"}) {
       const Value* v = rapidjson::Pointer(name).Get(*s);
-      if (v && !v->IsNull() && (!v->IsString() || span_of(text_of(*v)) <= 0)) fault(at + name, "no time");
+      if (v && !v->IsNull() && (!v->IsString() || duration_of(text_of(*v)) <= 0)) fault(at + name, "no time");
     }
     for (const char* name : {"/header_bytes", "/body_bytes"}) {
       const Value* v = rapidjson::Pointer(name).Get(*s);
@@ -277,7 +277,7 @@
   std::set<std::string, std::less<>> called_;  // services that the call itself brings
 };
 
-void list_of(Out& out, const ConfigurationStore& stands, std::string_view mark,
+void list_of(Out& out, const ConfigurationStore& stands, std::string_view prefix,
              const std::vector<std::string>& order) {
   rapidjson::MemoryPoolAllocator<>
       pool;  // of all records: one of its own each takes a whole chunk for itself
@@ -288,8 +288,8 @@
       if (a == name) return;
     axes.emplace_back(name);
   };
-  for (auto it = stands.items().lower_bound(mark); it != stands.items().end() && it->first.starts_with(mark);
-       ++it) {
+  for (auto it = stands.items().lower_bound(prefix);
+       it != stands.items().end() && it->first.starts_with(prefix); ++it) {
     if (it->second.dropped) continue;
     records.emplace_back(&pool).Parse(it->second.text.data(), it->second.text.size());
   }
@@ -325,7 +325,7 @@
 
 }  // namespace
 
-long long span_of(std::string_view text) {
+long long duration_of(std::string_view text) {
   std::size_t digits = 0;
   while (digits < text.size() && ((text[digits] >= '0' && text[digits] <= '9') || text[digits] == '.'))
     ++digits;
@@ -335,7 +335,7 @@
   const auto [stop, wrong] = std::from_chars(text.data(), text.data() + digits, n);
   if (wrong != std::errc() || stop != text.data() + digits) return -1;
   n *= unit == "s" ? 1e6 : 1e3;
-  return n < longest_span ? std::llround(n) : -1;
+  return n < longest_duration ? std::llround(n) : -1;
 }
 
 std::string version_text(std::uint64_t version) {
@@ -372,7 +372,7 @@
   for (const ServiceReference& n : change.needs)
     if (!n.brought && !stands.stands(n.service))
       change.faults.push_back(
-          {n.pointer, "target: nobody knows the service " + n.service.substr(target_mark.size())});
+          {n.pointer, "target: nobody knows the service " + n.service.substr(target_prefix.size())});
   if (!change.faults.empty()) change.items.clear();
   return change;
 }
@@ -401,11 +401,11 @@
   Out out(buffer);
   out.StartObject();
   out.Key("channels");
-  list_of(out, stands, channel_mark,
+  list_of(out, stands, channel_prefix,
           {"label", "authority", "path_prefix", "mode", "deadline", "setpoint_time", "rank", "distribution",
            "tries", "revision", "target"});
   out.Key("targets");
-  list_of(out, stands, target_mark,
+  list_of(out, stands, target_prefix,
           {"label", "probe", "conn_limit", "protocol", "tls", "warmup", "warmup_per_s", "revision"});
   if (const VersionedItem* s = stands.find(saturation_name); s && !s->dropped) {
     rapidjson::Document d;
--- a/src/configuration/configuration_change.h
+++ b/src/configuration/configuration_change.h
@@ -46,7 +46,7 @@
 std::string written_out(const ConfigurationStore& stands);
 
 // Microseconds of a text like "1500ms" or "2.5s"; below zero if it is none.
-long long span_of(std::string_view text);
+long long duration_of(std::string_view text);
 std::string version_text(std::uint64_t version);  // eight hexadecimal digits
 
 }  // namespace robinpin::configuration
--- a/src/configuration/route_table.cpp
+++ b/src/configuration/route_table.cpp
@@ -22,10 +22,10 @@
   const Value* found = rapidjson::Pointer(pointer).Get(v);
   return found && found->IsNumber() ? found->GetDouble() : absent;
 }
-std::int64_t span_at(const Value& v, const char* pointer, std::int64_t absent) {
+std::int64_t duration_at(const Value& v, const char* pointer, std::int64_t absent) {
   const Value* found = rapidjson::Pointer(pointer).Get(v);
   const long long span =
-      found && found->IsString() ? span_of({found->GetString(), found->GetStringLength()}) : -1;
+      found && found->IsString() ? duration_of({found->GetString(), found->GetStringLength()}) : -1;
   return span >= 0 ? span : absent;
 }
 
@@ -46,26 +46,26 @@
   c.prefix = text_at(v, "/path_prefix");
   const std::string kind = text_at(v, "/mode");
   c.kind = kind == "idempotent" ? mode::idempotent : kind == "inflow" ? mode::inflow : mode::effectful;
-  c.deadline = span_at(v, "/deadline", 0);
-  c.aim = std::min(c.deadline, span_at(v, "/setpoint_time", c.deadline));
+  c.deadline = duration_at(v, "/deadline", 0);
+  c.aim = std::min(c.deadline, duration_at(v, "/setpoint_time", c.deadline));
   c.rank = int(std::clamp(number_at(v, "/rank", 0), 0.0, 1'000'000.0));
   c.tries = int(std::clamp(number_at(v, "/tries", 1), 1.0, 100.0));
   if (const Value* split = rapidjson::Pointer("/distribution").Get(v); split && split->IsArray())
     for (const Value& s : split->GetArray())
       if (const double gain = number_at(s, "/gain", 0); gain > 0)
-        c.shares.push_back({text_at(s, "/target"), gain});
-  if (c.shares.empty()) c.shares.push_back({text_at(v, "/target"), 1});
-  for (const WeightedTarget& s : c.shares) c.gains += s.gain;
+        c.targets.push_back({text_at(s, "/target"), gain});
+  if (c.targets.empty()) c.targets.push_back({text_at(v, "/target"), 1});
+  for (const WeightedTarget& s : c.targets) c.gains += s.gain;
   return c;
 }
 
 }  // namespace
 
-const std::string& Route::service(double part_of_one) const {
-  double left = part_of_one * gains;
-  for (const WeightedTarget& s : shares)
+const std::string& Route::service(double position) const {
+  double left = position * gains;
+  for (const WeightedTarget& s : targets)
     if ((left -= s.gain) < 0) return s.service;
-  return shares.back().service;
+  return targets.back().service;
 }
 
 const Route* RouteTable::find(std::string_view host, std::string_view target) const {
@@ -83,16 +83,16 @@
   return nullptr;
 }
 
-std::shared_ptr<const RouteTable> RouteTableBuilder::build(const ConfigurationStore& creed) {
+std::shared_ptr<const RouteTable> RouteTableBuilder::build(const ConfigurationStore& store) {
   auto plan = std::make_shared<RouteTable>();
   std::unordered_map<std::string, Known> channels;
   channels.reserve(channels_.size());
   const auto read = [](const VersionedItem& item, rapidjson::Document& v) {
     return !v.Parse(item.text.data(), item.text.size()).HasParseError() && v.IsObject();
   };
-  for (const auto& [name, item] : creed.items()) {
+  for (const auto& [name, item] : store.items()) {
     if (item.dropped) continue;
-    if (name.starts_with(channel_mark)) {
+    if (name.starts_with(channel_prefix)) {
       const std::uint64_t print = print_of(item);
       Known known{print, item.version, nullptr};
       if (auto before = channels_.extract(name); before && before.mapped().print == print) {
@@ -101,32 +101,33 @@
         known.channel = std::make_shared<const Route>(channel_of(v));
       }
       if (known.channel) {
-        // Of routes that share a place the newest is in force.
-        auto& place = plan->hosts[known.channel->host][known.channel->prefix];
-        const auto other = place ? channels.find(std::string(channel_mark) + place->label) : channels.end();
-        if (other == channels.end() || known.version >= other->second.version) place = known.channel;
+        // Of routes that share a position the newest is in force.
+        auto& standing = plan->hosts[known.channel->host][known.channel->prefix];
+        const auto other =
+            standing ? channels.find(std::string(channel_prefix) + standing->label) : channels.end();
+        if (other == channels.end() || known.version >= other->second.version) standing = known.channel;
       }
       channels.emplace(name, std::move(known));
       continue;
     }
     rapidjson::Document v;
     if (!read(item, v)) continue;
-    if (name.starts_with(target_mark)) {
+    if (name.starts_with(target_prefix)) {
       Service s;
       s.name = text_at(v, "/label");
       s.probe = text_at(v, "/probe", "/probe");
       s.conn_limit = int(std::clamp(number_at(v, "/conn_limit", 100), 1.0, 100'000.0));
-      s.warmup = span_at(v, "/warmup", 0);
+      s.warmup = duration_at(v, "/warmup", 0);
       s.warmup_per_s = number_at(v, "/warmup_per_s", 0);
       plan->services[s.name] = std::move(s);
-    } else if (name.starts_with(evacuation_mark)) {
-      plan->emptied.insert(name.substr(evacuation_mark.size()));
+    } else if (name.starts_with(evacuation_prefix)) {
+      plan->emptied.insert(name.substr(evacuation_prefix.size()));
     } else if (name == saturation_name) {
       Bounds& b = plan->bounds;
       b.header_bytes = std::size_t(number_at(v, "/header_bytes", double(b.header_bytes)));
       b.body_bytes = std::size_t(number_at(v, "/body_bytes", double(b.body_bytes)));
-      b.header = span_at(v, "/header", b.header);
-      b.idle = span_at(v, "/idle", b.idle);
+      b.header = duration_at(v, "/header", b.header);
+      b.idle = duration_at(v, "/idle", b.idle);
     }
   }
   channels_ = std::move(channels);
--- a/src/configuration/route_table.h
+++ b/src/configuration/route_table.h
@@ -26,9 +26,10 @@
   mode kind = mode::effectful;
   std::int64_t deadline = 0, aim = 0;  // microseconds
   int rank = 0, tries = 1;
-  std::vector<WeightedTarget> shares;  // never empty
-  double gains = 0;                    // their sum
-  const std::string& service(double part_of_one) const;
+  std::vector<WeightedTarget> targets;  // never empty
+  double gains = 0;                     // their sum
+  // The service for a draw from [0, 1).
+  const std::string& service(double position) const;
 };
 
 struct Service {
@@ -55,7 +56,7 @@
 // Builds plans of one copy as it grows: of a change only what changed is read again.
 class RouteTableBuilder {
  public:
-  std::shared_ptr<const RouteTable> build(const ConfigurationStore& creed);
+  std::shared_ptr<const RouteTable> build(const ConfigurationStore& store);
 
  private:
   struct Known {
--- a/src/configuration/versioned_item.h
+++ b/src/configuration/versioned_item.h
@@ -10,10 +10,10 @@
 namespace robinpin::configuration {
 
 // Names begin with what they are of.
-constexpr std::string_view channel_mark = "c/", target_mark = "t/", evacuation_mark = "e/",
+constexpr std::string_view channel_prefix = "c/", target_prefix = "t/", evacuation_prefix = "e/",
                            saturation_name = "s";
 // An instance of an application server that was acknowledged as draining or departed: it gets no new request.
-constexpr std::string_view retirement_mark = "r/";
+constexpr std::string_view retirement_prefix = "r/";
 
 struct VersionedItem {
   std::string name;
--- a/src/control_plane/instance_retirement.cpp
+++ b/src/control_plane/instance_retirement.cpp
@@ -18,7 +18,7 @@
 void ReplicatedState::on_retirement_request(std::int64_t now, Machine from, const RetirementRequest& request,
                                             Outbox& out) {
   if (request.instance.empty() || request.instance.size() > RetirementRequest::max_instance_bytes) return;
-  const std::string name = std::string(configuration::retirement_mark) + request.instance;
+  const std::string name = std::string(configuration::retirement_prefix) + request.instance;
   if (configuration_.stands(name)) return send_retirement(from, name, out);
   if (!retirements_in_progress_.insert(name).second) return;
   const auto done = [this, from, name](const RequestOutcome& outcome) {
@@ -46,7 +46,7 @@
   const std::vector<std::string> expired = expired_retirements(now);
   if (!is_voter() || !is_current(now) || !requests_.empty()) return;
   for (const std::string& name : expired) {
-    std::string instance = name.substr(configuration::retirement_mark.size());
+    std::string instance = name.substr(configuration::retirement_prefix.size());
     submit(
         now, {OperatorRequest::what::forget_retired, std::move(instance)}, [](const RequestOutcome&) {}, out);
   }
@@ -60,8 +60,8 @@
   std::erase_if(retirements_seen_, [&](const auto& seen) { return !configuration_.stands(seen.first); });
   std::vector<std::string> expired;
   const auto& items = configuration_.items();
-  for (auto it = items.lower_bound(configuration::retirement_mark);
-       it != items.end() && it->first.starts_with(configuration::retirement_mark); ++it) {
+  for (auto it = items.lower_bound(configuration::retirement_prefix);
+       it != items.end() && it->first.starts_with(configuration::retirement_prefix); ++it) {
     if (it->second.dropped) continue;
     const std::int64_t since = retirements_seen_.try_emplace(it->first, now).first->second;
     if (now - since >= lifetime && expired.size() < max_forgotten_at_once) expired.push_back(it->first);
--- a/src/control_plane/request_validation.cpp
+++ b/src/control_plane/request_validation.cpp
@@ -70,13 +70,13 @@
 }
 
 std::string retirement_name(const std::string& instance) {
-  return std::string(configuration::retirement_mark) + instance;
+  return std::string(configuration::retirement_prefix) + instance;
 }
 
 }  // namespace
 
 RequestOutcome ValidatedCall::retire(StateView& view) const {
-  const auto standing = view.committed_with_prefix(configuration::retirement_mark);
+  const auto standing = view.committed_with_prefix(configuration::retirement_prefix);
   if (standing.size() >= max_retired_instances) {
     const auto oldest = std::min_element(standing.begin(), standing.end(),
                                          [](const auto* a, const auto* b) { return a->at < b->at; });
@@ -90,9 +90,9 @@
     case OperatorRequest::what::read:
       return success;
     case OperatorRequest::what::begin:
-      return drop_or_set(view, std::string(configuration::evacuation_mark) + argument_, false, "{}");
+      return drop_or_set(view, std::string(configuration::evacuation_prefix) + argument_, false, "{}");
     case OperatorRequest::what::finish:
-      return drop_or_set(view, std::string(configuration::evacuation_mark) + argument_, true, "");
+      return drop_or_set(view, std::string(configuration::evacuation_prefix) + argument_, true, "");
     case OperatorRequest::what::retire:
       return retire(view);
     case OperatorRequest::what::forget_retired:
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -22,7 +22,7 @@
   return waited < longest ? waited : std::chrono::nanoseconds(0);
 }
 
-bool Sockets::make_room() {
+bool Sockets::ensure_capacity() {
   for (const auto& evict : evictors_)
     while (full() && evict()) {
     }
@@ -47,14 +47,14 @@
       registry_(sockets.registry_),
       is_peers_request_(kind == HTTP_REQUEST),
       memory_(sockets.shared_memory()),
-      holder_(sockets.memory().add(this)),
+      consumer_(sockets.memory().add(this)),
       timer_(socket.get_executor()) {
   ++registry_->open;
 }
 
-void Connection::leave_accounts() {
+void Connection::unregister() {
   --registry_->open;
-  registry_->memory->remove(holder_);
+  registry_->memory->remove(consumer_);
   if (accepted_) registry_->accepted.erase(*accepted_);
 }
 
@@ -82,12 +82,12 @@
   phase_since_ = steady::now();
 }
 
-bool Connection::reserve_room() {
+bool Connection::reserve_capacity() {
   const std::size_t bytes = in.footprint_with_room() + (in.begun() ? unread_allowance_ : 0);
   constexpr std::size_t long_answer = 64 * 1024;
-  const MemoryAccount::Use use = is_peers_request_     ? MemoryAccount::Use::partial_request
-                                 : bytes > long_answer ? MemoryAccount::Use::long_answer
-                                                       : MemoryAccount::Use::ordinary;
+  const MemoryBudget::Use use = is_peers_request_     ? MemoryBudget::Use::partial_request
+                                : bytes > long_answer ? MemoryBudget::Use::long_answer
+                                                      : MemoryBudget::Use::ordinary;
   return memory_.resize(bytes, use);
 }
 
@@ -95,14 +95,14 @@
   if (!open()) return memory_.release();
   const bool is_partial = is_peers_request_ && in.begun() && !in.whole();
   memory_.record(in.footprint() + (in.begun() ? unread_allowance_ : 0),
-                 is_partial ? MemoryAccount::Use::partial_request : MemoryAccount::Use::ordinary);
+                 is_partial ? MemoryBudget::Use::partial_request : MemoryBudget::Use::ordinary);
 }
 
 void Connection::close() {
   no_limit();
   asio::error_code ignored;
   socket.close(ignored);
-  if (counted_) leave_accounts();
+  if (counted_) unregister();
   counted_ = false;
 }
 
@@ -202,7 +202,7 @@
   error = {};
   const bool first = !in.begun();
   enter(first ? Phase::resting : Phase::reading);
-  if (!reserve_room()) {
+  if (!reserve_capacity()) {
     error = asio::error::no_buffer_space;
     co_return reading::unfinished;
   }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -11,7 +11,7 @@
 
 #include "../codec/http.h"
 #include "clock.h"
-#include "memory_account.h"
+#include "memory_budget.h"
 
 namespace robinpin::node {
 
@@ -34,18 +34,18 @@
 
 class Connection;
 
-// How many descriptors the node's sockets may take, and the account of the memory that they hold. Who is out
+// How many descriptors the node's sockets may take, and the budget of the memory that they hold. Who is out
 // of room closes what is idle first.
 class Sockets {
  public:
-  explicit Sockets(int most, std::shared_ptr<MemoryAccount> memory = std::make_shared<MemoryAccount>())
+  explicit Sockets(int most, std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>())
       : most_(most), registry_(std::make_shared<Registry>()) {
     registry_->memory = std::move(memory);
   }
-  MemoryAccount& memory() const { return *registry_->memory; }
-  const std::shared_ptr<MemoryAccount>& shared_memory() const { return registry_->memory; }
+  MemoryBudget& memory() const { return *registry_->memory; }
+  const std::shared_ptr<MemoryBudget>& shared_memory() const { return registry_->memory; }
   // True if one more may be opened. Else what is idle has been closed, and it was not enough.
-  bool make_room();
+  bool ensure_capacity();
   bool full() const { return open() >= most_; }
   int open() const { return registry_->open; }
   int most() const { return most_; }
@@ -60,7 +60,7 @@
   struct Registry {
     int open = 0;
     std::list<Connection*> accepted;  // those at rest are closed for want of descriptors, the oldest first
-    std::shared_ptr<MemoryAccount> memory;
+    std::shared_ptr<MemoryBudget> memory;
   };
   bool close_resting();
 
@@ -69,7 +69,7 @@
   std::vector<std::function<bool()>> evictors_;
 };
 
-class Connection : public std::enable_shared_from_this<Connection>, private MemoryAccount::Holder {
+class Connection : public std::enable_shared_from_this<Connection>, private MemoryBudget::Consumer {
  public:
   // What the kernel may hold of a peer's bytes that are not read yet, where an acceptor bounds it.
   static constexpr std::size_t most_unread_bytes = 64 * 1024;
@@ -99,7 +99,7 @@
   // unread counts as memory of it, and it may be closed for want of descriptors while it rests.
   void set_accepted();
   // Holds this until the present answer is written, or the connection is evicted.
-  void hold(std::shared_ptr<MemoryAccount::Reservation> answer) { answer_memory_ = std::move(answer); }
+  void hold(std::shared_ptr<MemoryBudget::Reservation> answer) { answer_memory_ = std::move(answer); }
   // Writes all of it; `written` tells how much went out.
   awaitable<asio::error_code> write(std::string_view head, std::string_view body, std::size_t& written);
   static constexpr std::size_t all = ~std::size_t(0);
@@ -131,11 +131,11 @@
  private:
   enum class Phase { resting, reading, working, writing };
   std::size_t evictable_bytes() const override;
-  steady::time_point held_since() const override { return phase_since_; }
+  steady::time_point in_use_since() const override { return phase_since_; }
   void evict() override;
-  void leave_accounts();
+  void unregister();
   void enter(Phase phase);
-  bool reserve_room();
+  bool reserve_capacity();
   void record_memory();
 
   enum class peeked { nothing, bytes, end };
@@ -144,9 +144,9 @@
   Sockets& sockets_;
   const std::shared_ptr<Sockets::Registry> registry_;
   const bool is_peers_request_;  // requests arrive here; else answers
-  MemoryAccount::Reservation memory_;
-  std::shared_ptr<MemoryAccount::Reservation> answer_memory_;
-  MemoryAccount::Holders::iterator holder_;
+  MemoryBudget::Reservation memory_;
+  std::shared_ptr<MemoryBudget::Reservation> answer_memory_;
+  MemoryBudget::Consumers::iterator consumer_;
   std::optional<std::list<Connection*>::iterator> accepted_;
   Phase phase_ = Phase::resting;
   steady::time_point phase_since_{};
--- a/src/net/memory_account.cpp
+++ b/src/net/memory_budget.cpp
@@ -1,4 +1,4 @@
-#include "memory_account.h"
+#include "memory_budget.h"
 
 #include <algorithm>
 
@@ -6,13 +6,13 @@
 
 namespace {
 
-// Parts of the account, as divisors.
+// Parts of the budget, as divisors.
 constexpr std::size_t partial_request_part = 2;
 constexpr std::size_t spared_by_long_answers_part = 4;
 
 }  // namespace
 
-std::size_t MemoryAccount::limit_of(Use use) const {
+std::size_t MemoryBudget::limit_of(Use use) const {
   switch (use) {
     case Use::partial_request:
       return limit_ / partial_request_part;
@@ -25,24 +25,24 @@
 }
 
 // `own`: what the same reservation holds for that use already.
-bool MemoryAccount::has_room(std::size_t more, std::size_t own, Use use) const {
+bool MemoryBudget::has_capacity(std::size_t more, std::size_t own, Use use) const {
   if (more > limit_ - std::min(limit_, in_use_)) return false;
   const std::size_t of_others = by_use_[std::size_t(use)] - own;
   return of_others == 0 || of_others + own + more <= limit_of(use);
 }
 
 // The one whose bytes, times how long it has held them, are most.
-bool MemoryAccount::evict_one() {
+bool MemoryBudget::evict_one() {
   const auto now = steady::now();
-  Holder* victim = nullptr;
+  Consumer* victim = nullptr;
   double most = 0;
-  for (Holder* holder : holders_) {
-    const auto age = now - holder->held_since();
-    const std::size_t bytes = age < least_age_to_evict ? 0 : holder->evictable_bytes();
+  for (Consumer* consumer : consumers_) {
+    const auto age = now - consumer->in_use_since();
+    const std::size_t bytes = age < least_age_to_evict ? 0 : consumer->evictable_bytes();
     const double byte_seconds = double(bytes) * std::chrono::duration<double>(age).count();
     if (byte_seconds <= most) continue;
     most = byte_seconds;
-    victim = holder;
+    victim = consumer;
   }
   if (!victim) return false;
   ++evicted_;
@@ -50,20 +50,20 @@
   return true;
 }
 
-void MemoryAccount::change(std::size_t from, Use from_use, std::size_t to, Use to_use) {
+void MemoryBudget::change(std::size_t from, Use from_use, std::size_t to, Use to_use) {
   by_use_[std::size_t(from_use)] -= from;
   by_use_[std::size_t(to_use)] += to;
   in_use_ = in_use_ - from + to;
   highest_ = std::max(highest_, in_use_);
 }
 
-bool MemoryAccount::Reservation::resize(std::size_t bytes, Use use) {
+bool MemoryBudget::Reservation::resize(std::size_t bytes, Use use) {
   if (bytes > bytes_) {
     // Eviction may release this reservation itself.
-    while (!account_->has_room(bytes - bytes_, use == use_ ? bytes_ : 0, use)) {
+    while (!budget_->has_capacity(bytes - bytes_, use == use_ ? bytes_ : 0, use)) {
       const std::size_t before = bytes_;
-      if (account_->evict_one() && bytes_ == before) continue;
-      ++account_->refused_;
+      if (budget_->evict_one() && bytes_ == before) continue;
+      ++budget_->refused_;
       return false;
     }
   }
@@ -71,8 +71,8 @@
   return true;
 }
 
-void MemoryAccount::Reservation::record(std::size_t bytes, Use use) {
-  account_->change(bytes_, use_, bytes, use);
+void MemoryBudget::Reservation::record(std::size_t bytes, Use use) {
+  budget_->change(bytes_, use_, bytes, use);
   bytes_ = bytes;
   use_ = use;
 }
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -153,7 +153,7 @@
   while (acceptor_.is_open()) {
     asio::error_code error;
     // Room for the txns' own postings stays free: of what is taken in, each needs one more socket.
-    const bool room = sockets_.make_room() && int(seats_.size()) < sockets_.most() * 3 / 5;
+    const bool room = sockets_.ensure_capacity() && int(seats_.size()) < sockets_.most() * 3 / 5;
     if (!room && !evict()) {
       pause.expires_after(5ms);
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
--- a/src/node/list.cpp
+++ b/src/node/list.cpp
@@ -200,7 +200,7 @@
   asked_at_ = steady::now();
   if (!connection_ || !connection_->quiet()) {
     connection_.reset();
-    sockets_.make_room();
+    sockets_.ensure_capacity();
     connection_ = std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE, list_limits);
     connection_->limit(steady::now() + dial_limit);
     if (const auto error = co_await connection_->connect(at_))
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -187,7 +187,7 @@
         log::info(log::part::node, "{}: {} process{} of this node", boot_.name, n, n == 1 ? "" : "es");
       before = n;
       sockets_.most(std::max(least_share, (boot_.most_sockets + boot_.kept_back) / n - boot_.kept_back));
-      sockets_.make_room();
+      sockets_.ensure_capacity();
       pause.expires_after(look);
       co_await pause.async_wait(asio::use_awaitable);
     }
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -149,7 +149,7 @@
   if (call.connection) {
     ++counters_.reuses;
   } else {
-    if (!sockets_.make_room()) {
+    if (!sockets_.ensure_capacity()) {
       ++counters_.no_room;
       co_return;
     }
--- a/src/peer/caller.cpp
+++ b/src/peer/caller.cpp
@@ -53,7 +53,7 @@
     if (steady::now() - c->idle_since > idle_for || !c->quiet()) c.reset();
   }
   if (!c) {
-    if (!sockets_.make_room()) {
+    if (!sockets_.ensure_capacity()) {
       a.how = came::crowded;
       co_return a;
     }
--- a/src/peer/listener.cpp
+++ b/src/peer/listener.cpp
@@ -33,7 +33,7 @@
     tcp::socket socket(io_);
     co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
     if (error == asio::error::operation_aborted) co_return;
-    if (error || !sockets_.make_room()) {
+    if (error || !sockets_.ensure_capacity()) {
       // Out of descriptors: all callers are at work. The one that came is closed, and may come again.
       socket.close(error);
       pause.expires_after(5ms);
--- a/src/rpc/calls.h
+++ b/src/rpc/calls.h
@@ -53,7 +53,7 @@
     if (capacity && capacity->IsInt()) heartbeat.capacity = std::max(1, capacity->GetInt());
     const auto* sequence = rapidjson::Pointer("/sequence").Get(document);
     if (sequence && sequence->IsUint64()) heartbeat.sequence = sequence->GetUint64();
-    const std::int64_t warmup_left = configuration::span_of(text_at(document, "/warmup_left"));
+    const std::int64_t warmup_left = configuration::duration_of(text_at(document, "/warmup_left"));
     heartbeat.warmup_left = std::max<std::int64_t>(0, warmup_left);
     if (heartbeat.target.empty() || heartbeat.address.empty()) return std::nullopt;
     return heartbeat;
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -109,7 +109,7 @@
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
-    if (!sockets.make_room()) continue;  // closed unread: the caller retries elsewhere
+    if (!sockets.ensure_capacity()) continue;  // closed unread: the caller retries elsewhere
     socket.set_option(tcp::no_delay(true), error);
     auto connection = std::make_shared<Connection>(std::move(socket), sockets, HTTP_REQUEST, limits);
     connection->set_accepted();
@@ -150,7 +150,7 @@
     const bool drops_pipelined =
         is_readable && reply.status == 503 && (request.behind() || !connection->still());
     const bool keeps_connection = is_readable && !drops_pipelined && request.keep_alive();
-    if (!hold_reply(*connection, reply)) reply = {503, R"({"fault":"no memory for the answer"})", {}, 0};
+    if (!reserve_reply(*connection, reply)) reply = {503, R"({"fault":"no memory for the answer"})", {}, 0};
     connection->limit(node::steady::now() + write_timeout);
     std::size_t written = 0;
     const std::string head = head_of(reply, keeps_connection);
@@ -160,15 +160,15 @@
   }
 }
 
-// Counts the body until it is written; one that is shared is held once, whoever reads it. False: no room.
-bool Server::hold_reply(Connection& connection, const Reply& reply) const {
+// Counts the body until it is written; one that is shared is counted once, whoever reads it. False: no room.
+bool Server::reserve_reply(Connection& connection, const Reply& reply) const {
   constexpr std::size_t long_reply_bytes = 64 * 1024;
-  using Use = node::MemoryAccount::Use;
+  using Use = node::MemoryBudget::Use;
   if (reply.shared_body || reply.body.empty()) return true;
-  auto held = std::make_shared<node::MemoryAccount::Reservation>(sockets_.shared_memory());
+  auto reservation = std::make_shared<node::MemoryBudget::Reservation>(sockets_.shared_memory());
   const std::size_t bytes = reply.body.size();
-  if (!held->resize(bytes, bytes > long_reply_bytes ? Use::long_answer : Use::ordinary)) return false;
-  connection.hold(std::move(held));
+  if (!reservation->resize(bytes, bytes > long_reply_bytes ? Use::long_answer : Use::ordinary)) return false;
+  connection.hold(std::move(reservation));
   return true;
 }
 
--- a/src/rpc/server.h
+++ b/src/rpc/server.h
@@ -81,7 +81,7 @@
   awaitable<void> serve(std::shared_ptr<Connection> connection);
   // The reply to a request that has been read completely.
   awaitable<Reply> reply_within_limits(std::shared_ptr<Connection> connection);
-  bool hold_reply(Connection& connection, const Reply& reply) const;
+  bool reserve_reply(Connection& connection, const Reply& reply) const;
   awaitable<Reply> dispatch(const codec::Message& request);
 
   asio::io_context& io_;
--- a/src/sidecar/inbound_proxy.cpp
+++ b/src/sidecar/inbound_proxy.cpp
@@ -39,7 +39,7 @@
   shortest_.clear();
   for (const auto& [host, channels] : plan_->hosts)
     for (const auto& [prefix, c] : channels)
-      for (const configuration::WeightedTarget& s : c->shares)
+      for (const configuration::WeightedTarget& s : c->targets)
         if (auto& d = shortest_[s.service]; d == 0 || c->deadline < d) d = c->deadline;
 }
 
--- a/src/sidecar/outbound_proxy.h
+++ b/src/sidecar/outbound_proxy.h
@@ -72,7 +72,7 @@
   struct Answer {
     int status = 503;
     std::string headers, body;
-    std::shared_ptr<node::MemoryAccount::Reservation> held;  // the body's
+    std::shared_ptr<node::MemoryBudget::Reservation> held;  // the body's
   };
 
   awaitable<Answer> answer_to(std::shared_ptr<Connection> c, std::shared_ptr<Source> source, bool& gone);
--- a/src/sidecar/service_balancers.cpp
+++ b/src/sidecar/service_balancers.cpp
@@ -50,7 +50,7 @@
   std::set<std::string> touched;
   for (const auto& [host, channels] : plan.hosts)
     for (const auto& [prefix, channel] : channels)
-      for (const configuration::WeightedTarget& s : channel->shares) {
+      for (const configuration::WeightedTarget& s : channel->targets) {
         ServiceBalancer& c = balancers_[s.service];
         if (c.rows.emplace(key_of(*channel), int(c.schemes.size())).second) {
           scheme_row row;
--- a/src/sidecar/upstream_pool.cpp
+++ b/src/sidecar/upstream_pool.cpp
@@ -177,7 +177,7 @@
   in_flight->connection = lane.connection;
   if (!in_flight->connection) {
     lane.incarnation = incarnation_;
-    if (!sockets_.make_room()) co_return told();
+    if (!sockets_.ensure_capacity()) co_return told();
     ++dials;
     in_flight->connection =
         std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE, answer_limits);
@@ -283,9 +283,9 @@
     const auto [name, value] = c.in.header(i);
     if (!of_connection(name, listed)) f.headers.emplace_back(name, codec::trim(value));
   }
-  f.held = std::make_shared<node::MemoryAccount::Reservation>(sockets_.shared_memory());
-  f.held->record(c.in.body().size(), c.in.body().size() > Source::kept ? node::MemoryAccount::Use::long_answer
-                                                                       : node::MemoryAccount::Use::ordinary);
+  f.held = std::make_shared<node::MemoryBudget::Reservation>(sockets_.shared_memory());
+  f.held->record(c.in.body().size(), c.in.body().size() > Source::kept ? node::MemoryBudget::Use::long_answer
+                                                                       : node::MemoryBudget::Use::ordinary);
   f.body = c.in.body();
   // What its peer tells of how long it keeps an idle connection, less a little: none is met as it is being
   // closed.
--- a/src/sidecar/upstream_pool.h
+++ b/src/sidecar/upstream_pool.h
@@ -61,9 +61,9 @@
   int status = 0;
   std::vector<std::pair<std::string, std::string>> headers;  // without those of the connection
   std::string body;
-  std::shared_ptr<node::MemoryAccount::Reservation> held;  // the body's
-  micros lag = 0;                                          // in all, without what its sender took
-  micros served = 0;                                       // since it was handed over whole
+  std::shared_ptr<node::MemoryBudget::Reservation> held;  // the body's
+  micros lag = 0;                                         // in all, without what its sender took
+  micros served = 0;                                      // since it was handed over whole
   std::string_view header(std::string_view name) const;
 };
 
--- a/tests/mesh/configuration_test.cpp
+++ b/tests/mesh/configuration_test.cpp
@@ -177,7 +177,7 @@
        {std::pair{"00000008", "0000000F"}, std::pair{"a.example", "\xc3\xa4.example"},
         std::pair{"4000ms", "600s"}, std::pair{"\"gain\":90", "\"gain\":1e300"}})
     CHECK_FALSE(refused(edited(good, what, by)));
-  CHECK(configuration::span_of("999999999999999999s") < 0);
+  CHECK(configuration::duration_of("999999999999999999s") < 0);
 }
 
 namespace {
@@ -277,7 +277,7 @@
   };
   const auto service = [](const configuration::RouteTable& plan, const char* path) {
     const configuration::Route* c = plan.find("a.example", path);
-    return c ? c->shares[0].service : "none";
+    return c ? c->targets[0].service : "none";
   };
   // One moves, and moves back; a second one takes its place meanwhile, and goes.
   const std::vector<configuration::VersionedItem> history = {route("a", "/p/", 1), route("a", "/q/", 3),
--- a/tests/mesh/simulated_world.h
+++ b/tests/mesh/simulated_world.h
@@ -41,7 +41,7 @@
 
   bool brings(const VersionedItem& i) const {
     if (order.is == What::begin || order.is == What::finish)
-      return i.name == std::string(configuration::evacuation_mark) + order.text;
+      return i.name == std::string(configuration::evacuation_prefix) + order.text;
     return std::any_of(items.begin(), items.end(),
                        [&](const VersionedItem& x) { return configuration::same_wording(x, i); });
   }
@@ -169,7 +169,8 @@
     return it != s.items.end() && !it->second.dropped;
   };
   if (c.order.is == What::begin || c.order.is == What::finish)
-    return stands(std::string(configuration::evacuation_mark) + c.order.text) == (c.order.is == What::begin);
+    return stands(std::string(configuration::evacuation_prefix) + c.order.text) ==
+           (c.order.is == What::begin);
   return std::all_of(c.items.begin(), c.items.end(), [&](const VersionedItem& i) {
     if (const auto it = s.items.find(i.name); it != s.items.end())
       return it->second.version > i.version || configuration::same_wording(it->second, i);
--- a/tests/mesh/stored_data_test.cpp
+++ b/tests/mesh/stored_data_test.cpp
@@ -267,7 +267,7 @@
   int standing = 0, dropped = 0, evacuations = 0;
   for (const auto& item : expected["items"].GetArray()) {
     (item["dropped"].GetBool() ? dropped : standing) += 1;
-    evacuations += std::string_view(item["name"].GetString()).starts_with(configuration::evacuation_mark);
+    evacuations += std::string_view(item["name"].GetString()).starts_with(configuration::evacuation_prefix);
   }
   CHECK(standing >= 250);
   CHECK(dropped >= 80);
