--- a/src/control_plane/request_validation.cpp
+++ b/src/control_plane/request_validation.cpp
@@ -10,6 +10,7 @@
 namespace {
 const RequestOutcome success{200, "{}"};
 const RequestOutcome too_many_bytes{413, R"({"fault":"one call brings at most 4,000,000 bytes of items"})"};
+const RequestOutcome too_long{413, R"({"fault":"one call names at most 24,000,000 bytes of items"})"};
 std::size_t size_of(const configuration::VersionedItem& i) { return i.name.size() + i.text.size(); }
 static_assert(max_item_bytes + gossip::full_datagram < gossip::longest_datagram);
 }  // namespace
@@ -108,7 +109,7 @@
       break;
   }
   if (!change_.faults.empty()) return {400, configuration::faults_as_json(change_.faults)};
-  if (change_.is_too_long) return too_many_bytes;
+  if (change_.is_too_long) return too_long;
   StateView after = view;
   std::vector<configuration::ValidationError> clashes, faults;
   std::vector<bool> changes;
