Events and figures that tell how a process ended, and what it held

E106 at a fatal signal or an uncaught exception, E121 where memory is over three quarters of memory_mb, E122 where connections were refused for want of descriptors, `resources` at /v1/status. Unread bytes are asked of the kernel twice a second. No logic of requests is changed.

--- a/src/app/control_plane_process.cpp
+++ b/src/app/control_plane_process.cpp
@@ -82,7 +82,8 @@
       return execute({RequestKind::size, std::move(call.count)});
     });
     control_server_.handle<rpc::Status>([this](rpc::Status) -> awaitable<rpc::Reply> {
-      const ProcessView process{settings, configuration_, gossip_, *transport_, *memory_budget_, now()};
+      const ProcessView process{settings,        configuration_,   gossip_, *transport_,
+                                *memory_budget_, resource_usage(), now()};
       co_return rpc::Reply{200, control_plane_status_json(process, replicated_state_), {}};
     });
     control_server_.handle<rpc::Readiness>([this](rpc::Readiness) -> awaitable<rpc::Acknowledgement> {
@@ -256,6 +257,12 @@
   void on_settings_changed() override { replicated_state_.set_seeds(parse_machines(settings.seed_nodes)); }
 
   // A vote that another machine can take over is handed over first.
+  ResourceUsage resource_usage() const override {
+    ResourceUsage usage = memory_usage();
+    add_connections(sockets_, usage);
+    return usage;
+  }
+
   void on_termination_signal() override {
     if (is_leaving_) return;
     is_leaving_ = true;
--- a/src/app/mesh_process.cpp
+++ b/src/app/mesh_process.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "../log/log.h"
+#include "crash_report.h"
 
 namespace robinpin::app {
 
@@ -19,6 +20,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto tick_interval = 100ms;
+constexpr std::size_t bytes_per_megabyte = 1024 * 1024;
+constexpr std::uint64_t ticks_between_resource_checks = 5;
 constexpr std::int64_t memory_log_interval = 10'000'000;  // microseconds
 constexpr std::int64_t clock_jump_threshold = 1'000'000;  // microseconds from one tick to the next
 
@@ -26,9 +29,12 @@
   switch (type) {
     case EventType::storage_failed:
     case EventType::settings_rejected:
+    case EventType::process_crashed:
       return log::level::error;
     case EventType::clock_jumped:
     case EventType::memory_short:
+    case EventType::memory_high:
+    case EventType::descriptors_short:
     case EventType::change_undecided:
     case EventType::replica_stale:
     case EventType::storage_quarantined:
@@ -55,7 +61,7 @@
   // The rest is the process's own: its code, its state, and what the allocator cannot use.
   constexpr double part_for_peers = 0.4;
   return std::make_shared<node::MemoryBudget>(
-      std::size_t(double(settings.memory_mb) * 1024 * 1024 * part_for_peers));
+      std::size_t(double(settings.memory_mb) * bytes_per_megabyte * part_for_peers));
 }
 
 }  // namespace
@@ -167,6 +173,29 @@
   on_tick(clock_jumped);
   log_configuration_changes(at);
   log_memory_shortage(at);
+  if (++ticks_ % ticks_between_resource_checks == 0) log_resources(at);
+}
+
+void MeshProcess::log_resources(std::int64_t at) {
+  const ResourceUsage usage = resource_usage();
+  if (const auto notice = resource_watch_.memory_notice(at, usage))
+    event_log_.append(notice->type, at, notice->text);
+  if (const auto notice = resource_watch_.descriptor_notice(at, usage))
+    event_log_.append(notice->type, at, notice->text);
+}
+
+ResourceUsage MeshProcess::memory_usage() const {
+  ResourceUsage usage;
+  usage.resident_bytes = resident_bytes();
+  usage.memory_limit_bytes = std::size_t(settings.memory_mb) * bytes_per_megabyte;
+  return usage;
+}
+
+void MeshProcess::add_connections(const node::Sockets& sockets, ResourceUsage& usage) {
+  usage.unread_bytes += sockets.unread_bytes();
+  usage.connections += sockets.open();
+  usage.connection_limit += sockets.most();
+  usage.connections_refused += sockets.refused();
 }
 
 void MeshProcess::log_memory_shortage(std::int64_t at) {
@@ -250,6 +279,7 @@
   constexpr int start_failed = 1;
   std::signal(SIGPIPE, SIG_IGN);
   return_freed_memory();
+  install_crash_report();
   return boost::leaf::try_handle_all(
       [&]() -> storage::result<int> {
         BOOST_LEAF_AUTO(settings, bootstrap::load_settings(start.settings, kind));
--- a/src/app/mesh_process.h
+++ b/src/app/mesh_process.h
@@ -11,10 +11,12 @@
 #include "../configuration/configuration_store.h"
 #include "../event_log/event_log.h"
 #include "../gossip/gossip.h"
+#include "../net/connection.h"
 #include "../net/memory_budget.h"
 #include "../transport/address.h"
 #include "../transport/udp_transport.h"
 #include "apply_throttle.h"
+#include "resource_watch.h"
 #include "settings_watcher.h"
 
 namespace robinpin::app {
@@ -53,6 +55,9 @@
   // Calls on_state_changed() if the configuration or the membership has changed since the last call: at once,
   // or later where changes come so often that applying them would take too much processor time.
   void apply_state_changes();
+  ResourceUsage memory_usage() const;  // without its connections
+  // Adds what the connections of one port or of several take.
+  static void add_connections(const node::Sockets& sockets, ResourceUsage& usage);
   // Ends the process without destructors: suspended coroutines refer to parts that would be destroyed first.
   [[noreturn]] void exit_process(int exit_code);
 
@@ -62,6 +67,8 @@
   virtual void on_termination_signal() = 0;
   // The configuration or the membership has changed.
   virtual void on_state_changed() = 0;
+  // Of its connections at all ports.
+  virtual ResourceUsage resource_usage() const = 0;
   // Other settings are in force, and their seed nodes have been asked.
   virtual void on_settings_changed() = 0;
 
@@ -79,6 +86,7 @@
   void recover_from_clock_jump(std::int64_t at);
   void log_configuration_changes(std::int64_t at);
   void log_memory_shortage(std::int64_t at);
+  void log_resources(std::int64_t at);
   void watch_signals();
   void check_settings(bool signalled);
   void apply_settings(bootstrap::Settings next, bool signalled);
@@ -89,6 +97,8 @@
   asio::signal_set signals_;
   std::int64_t last_tick_ = 0;
   ApplyThrottle apply_throttle_;
+  ResourceWatch resource_watch_;
+  std::uint64_t ticks_ = 0;
   bool apply_pending_ = false;
   std::uint64_t applied_configuration_changes_ = 0;
   std::uint64_t applied_membership_changes_ = 0;
--- a/src/app/sidecar_process.cpp
+++ b/src/app/sidecar_process.cpp
@@ -70,7 +70,8 @@
     control_server_.handle<rpc::Departure>(
         [this](rpc::Departure departure) { return on_departure(std::move(departure)); });
     control_server_.handle<rpc::Status>([this](rpc::Status) -> awaitable<rpc::Reply> {
-      const ProcessView process{settings, configuration_, gossip_, *transport_, *memory_budget_, now()};
+      const ProcessView process{settings,        configuration_,   gossip_, *transport_,
+                                *memory_budget_, resource_usage(), now()};
       co_return rpc::Reply{200, sidecar_status_json(process, outbound_proxy_, is_ready_), {}};
     });
     readiness_server_.handle<rpc::Readiness>([this](rpc::Readiness) -> awaitable<rpc::Acknowledgement> {
@@ -251,7 +252,7 @@
     check_server_heartbeat();
     apply_state_changes();
     update_readiness();
-    if (++ticks_ % ticks_between_sweeps == 0) sweep();
+    if (++sweep_ticks_ % ticks_between_sweeps == 0) sweep();
     if (may_exit()) io_.stop();
   }
 
@@ -281,6 +282,13 @@
     return outbound_proxy_.pending() == 0 || now() >= latest_exit_;
   }
 
+  ResourceUsage resource_usage() const override {
+    ResourceUsage usage = memory_usage();
+    add_connections(sockets_, usage);
+    add_connections(control_sockets_, usage);
+    return usage;
+  }
+
   // The application server has ended already. Clients are still connected: what has arrived is answered.
   void on_termination_signal() override {
     if (is_stopping_) return;
@@ -306,7 +314,7 @@
   configuration::RouteTableBuilder route_table_builder_;
   std::shared_ptr<const configuration::RouteTable> route_table_;
   std::uint64_t routed_configuration_changes_ = 0;  // as of `route_table_`
-  std::uint64_t ticks_ = 0;
+  std::uint64_t sweep_ticks_ = 0;
   bool has_caught_up_ = false;
   bool is_ready_ = false;
   bool is_stopping_ = false;
--- a/src/app/status_json.cpp
+++ b/src/app/status_json.cpp
@@ -55,6 +55,18 @@
   json.EndObject();
 }
 
+void put_resources(JsonWriter& json, const ResourceUsage& usage) {
+  json.Key("resources");
+  json.StartObject();
+  put_count(json, "resident", usage.resident_bytes);
+  put_count(json, "unread", usage.unread_bytes);
+  put_count(json, "memory_limit", usage.memory_limit_bytes);
+  put_count(json, "connections", std::uint64_t(usage.connections));
+  put_count(json, "connection_limit", std::uint64_t(usage.connection_limit));
+  put_count(json, "connections_refused", usage.connections_refused);
+  json.EndObject();
+}
+
 const char* server_state(const gossip::MemberRecord& record) {
   if (record.expired) return "expired";
   return record.draining ? "draining" : "admitted";
@@ -147,6 +159,7 @@
   put_request_counts(json, outbound_proxy.counts());
   put_traffic(json, process.transport);
   put_memory(json, process.memory);
+  put_resources(json, process.resources);
   put_servers(json, process);
   json.EndObject();
   return buffer.GetString();
@@ -169,6 +182,7 @@
   put_count(json, "orders", replicated_state.pending_requests());
   put_traffic(json, process.transport);
   put_memory(json, process.memory);
+  put_resources(json, process.resources);
   put_cores(json, process.gossip);
   put_peers(json, replicated_state, process.now);
   put_members(json, process.gossip);
--- a/src/app/status_json.h
+++ b/src/app/status_json.h
@@ -11,6 +11,7 @@
 #include "../gossip/gossip.h"
 #include "../sidecar/outbound_proxy.h"
 #include "../transport/udp_transport.h"
+#include "resource_watch.h"
 
 namespace robinpin::app {
 
@@ -21,6 +22,7 @@
   const gossip::Gossip& gossip;
   const transport::UdpTransport& transport;
   const node::MemoryBudget& memory;
+  ResourceUsage resources;
   std::int64_t now;
 };
 
--- a/src/event_log/event_log.h
+++ b/src/event_log/event_log.h
@@ -20,10 +20,13 @@
   settings_applied = 103,
   settings_rejected = 104,
   process_exiting = 105,
-  ready = 110,  // for clients
+  process_crashed = 106,  // by a signal or an exception of its own
+  ready = 110,            // for clients
   not_ready = 111,
-  memory_short = 120,  // peers were refused or closed for want of memory
-  server_up = 200,     // the server beside this node has started
+  memory_short = 120,       // peers were refused or closed for want of memory
+  memory_high = 121,        // of the whole process, near its limit
+  descriptors_short = 122,  // connections were refused for want of descriptors
+  server_up = 200,          // the server beside this node has started
   server_draining = 201,
   server_down = 202,      // it said so, or its heartbeats stopped
   items_changed = 300,    // of the configuration
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -28,9 +28,16 @@
     }
   while (full() && close_resting()) {
   }
+  if (full()) ++refused_;
   return !full();
 }
 
+std::size_t Sockets::unread_bytes() const {
+  std::size_t bytes = 0;
+  for (const Connection* connection : registry_->connections) bytes += connection->unread_bytes();
+  return bytes;
+}
+
 bool Sockets::close_resting() {
   const auto& accepted = registry_->accepted;
   const auto resting = std::find_if(accepted.begin(), accepted.end(),
@@ -48,12 +55,11 @@
       is_peers_request_(kind == HTTP_REQUEST),
       memory_(sockets.shared_memory()),
       consumer_(sockets.memory().add(this)),
-      timer_(socket.get_executor()) {
-  ++registry_->open;
-}
+      connection_(registry_->connections.insert(registry_->connections.end(), this)),
+      timer_(socket.get_executor()) {}
 
 void Connection::unregister() {
-  --registry_->open;
+  registry_->connections.erase(connection_);
   registry_->memory->remove(consumer_);
   if (accepted_) registry_->accepted.erase(*accepted_);
 }
@@ -140,6 +146,12 @@
 bool Connection::still() { return peek() == peeked::nothing; }
 bool Connection::peer_gone() { return peek() == peeked::end; }
 
+std::size_t Connection::unread_bytes() const {
+  asio::error_code unknown;
+  const std::size_t bytes = socket.available(unknown);
+  return unknown ? 0 : bytes;
+}
+
 awaitable<asio::error_code> Connection::connect(tcp::endpoint to) {
   asio::error_code error;
   const auto begun = steady::now();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -47,7 +47,10 @@
   // True if one more may be opened. Else what is idle has been closed, and it was not enough.
   bool ensure_capacity();
   bool full() const { return open() >= most_; }
-  int open() const { return registry_->open; }
+  int open() const { return int(registry_->connections.size()); }
+  std::uint64_t refused() const { return refused_; }  // calls of ensure_capacity() that found no room
+  // Bytes that have arrived at all connections and are not read yet. Asks the kernel for each of them.
+  std::size_t unread_bytes() const;
   int most() const { return most_; }
   void most(int n) { most_ = n; }
   Waits waits;
@@ -58,13 +61,14 @@
   friend class Connection;
   // Shared with the connections: suspended coroutines may keep them beyond the end of this.
   struct Registry {
-    int open = 0;
+    std::list<Connection*> connections;
     std::list<Connection*> accepted;  // those at rest are closed for want of descriptors, the oldest first
     std::shared_ptr<MemoryBudget> memory;
   };
   bool close_resting();
 
   int most_;
+  std::uint64_t refused_ = 0;
   const std::shared_ptr<Registry> registry_;
   std::vector<std::function<bool()>> evictors_;
 };
@@ -89,6 +93,7 @@
   // Whether the peer has neither sent anything nor closed: only then an idle connection is of use.
   bool quiet();
   bool peer_gone();
+  std::size_t unread_bytes() const;                             // have arrived, as the kernel tells
   bool still();                                                 // nothing to read, and not closed
   bool rests() { return phase_ == Phase::resting && quiet(); }  // between requests, or before the first
   // As connecting took: the kernel's own measure has the peer's delayed acknowledgements in it.
@@ -147,6 +152,7 @@
   MemoryBudget::Reservation memory_;
   std::shared_ptr<MemoryBudget::Reservation> answer_memory_;
   MemoryBudget::Consumers::iterator consumer_;
+  std::list<Connection*>::iterator connection_;
   std::optional<std::list<Connection*>::iterator> accepted_;
   Phase phase_ = Phase::resting;
   steady::time_point phase_since_{};
