--- a/tests/mesh/help.h
+++ b/tests/mesh/help.h
@@ -41,9 +41,9 @@
 
 // A change of one route: what of it stands in its words.
 inline std::string one_route(const std::string& version, const std::string& target,
-                             const std::string& label = "r0") {
+                             const std::string& label = "r0", const std::string& path = "/p0/") {
   return R"({"apply":{"channels":{"axes":["label","authority","path_prefix","mode","deadline","revision","target"],"records":[[")" +
-         label + R"(","a.example","/p0/","idempotent","4000ms",")" + version + R"(",")" + target +
+         label + R"(","a.example",")" + path + R"(","idempotent","4000ms",")" + version + R"(",")" + target +
          R"("]]}}})";
 }
 
--- a/tests/mesh/mesh_processes.h
+++ b/tests/mesh/mesh_processes.h
@@ -7,6 +7,7 @@
 
 #include "../../src/net/listening.h"
 #include "../../src/rpc/server.h"
+#include "faulty_answers.h"
 #include "processes.h"
 
 namespace robinpin::mesh_test {
@@ -35,6 +36,8 @@
         asio::detached);
     if (heartbeats == Heartbeats::automatic) asio::co_spawn(loop.io, send_heartbeats(), asio::detached);
   }
+  // From now on each request gets such an answer.
+  void answer_with(FaultyAnswer kind) { faulty_answer_ = kind; }
   const std::string& service() const { return service_; }
   const std::string& address() const { return address_; }
 
@@ -79,11 +82,14 @@
       static const std::string large(large_size, 'x');
       const std::string short_piece(lasts ? piece_size : 100, 'x');
       const std::string& piece = c->in.target().ends_with("/large") ? large : short_piece;
-      const std::string head = fmt::format(
+      const std::string headers = fmt::format(
           "HTTP/1.1 200 OK\r\nX-Answering-Instance: i-{0}\r\nX-Attempt-Id: {1}\r\nX-Server-Seal: "
-          "{2}.{3}\r\nContent-Length: {4}\r\n\r\n",
-          address_.substr(0, address_.find(':')), id, service_, c->in.body().size(),
-          piece.size() * (lasts ? long_pieces : 1));
+          "{2}.{3}\r\n",
+          address_.substr(0, address_.find(':')), id, service_, c->in.body().size());
+      if (faulty_answer_ != FaultyAnswer::none)
+        co_return co_await send_faulty_answer(c, faulty_answer_, headers);
+      const std::string head =
+          fmt::format("{}Content-Length: {}\r\n\r\n", headers, piece.size() * (lasts ? long_pieces : 1));
       std::size_t written = 0;
       if (co_await c->write(head, piece, written)) co_return;
       for (int n = 1; lasts && n < long_pieces; ++n) {
@@ -98,6 +104,7 @@
   tcp::acceptor acceptor_;
   const std::string service_, address_, control_;
   std::set<std::string>& arrived_;  // attempts that some server has read whole
+  FaultyAnswer faulty_answer_ = FaultyAnswer::none;
 };
 
 // A sidecar's process with its settings file.
@@ -135,6 +142,7 @@
   }
   rehearse::Daemon& process() { return daemon_; }
   const ApplicationServer& server() const { return server_; }
+  ApplicationServer& server() { return server_; }
   const std::string& ip() const { return ip_; }
   tcp::endpoint control() const { return node::endpoint_of(at(0)); }
   tcp::endpoint inbound() const { return node::endpoint_of(at(3)); }
--- a/tests/mesh/resource_usage.h
+++ b/tests/mesh/resource_usage.h
@@ -25,8 +25,10 @@
   return resident * std::size_t(::sysconf(_SC_PAGESIZE));
 }
 
-// Bytes that have arrived at the TCP sockets of that IPv4 address, given as /proc/net/tcp has it.
-inline std::size_t unread_bytes(const std::string& kernel_address) {
+// Bytes that have arrived unread at the TCP sockets whose own, or whose peer's, IPv4 address (and port)
+// begins so, as /proc/net/tcp has it.
+enum class Side { local, remote };
+inline std::size_t unread_bytes(Side side, const std::string& kernel_address) {
   std::ifstream in("/proc/net/tcp");
   std::size_t bytes = 0;
   std::string line;
@@ -36,7 +38,7 @@
     std::istringstream fields(line);
     std::string number, local, remote, state, queues;
     fields >> number >> local >> remote >> state >> queues;
-    if (state == listening || !local.starts_with(kernel_address)) continue;
+    if (state == listening || !(side == Side::local ? local : remote).starts_with(kernel_address)) continue;
     bytes += std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16);
   }
   return bytes;
@@ -51,6 +53,14 @@
   return text;
 }
 
+// "127.1.2.3:8080" likewise.
+inline std::string kernel_endpoint_of(const std::string& endpoint) {
+  const auto colon = endpoint.find(':');
+  char port[5];
+  std::snprintf(port, sizeof port, "%04X", unsigned(std::stoul(endpoint.substr(colon + 1))));
+  return kernel_address_of(endpoint.substr(0, colon)) + ":" + port;
+}
+
 inline std::size_t descriptors_of(pid_t pid) {
   std::error_code gone;
   const std::filesystem::directory_iterator first("/proc/" + std::to_string(pid) + "/fd", gone), last;
@@ -60,7 +70,7 @@
 }
 
 inline ResourceUsage usage_of(pid_t pid, const std::string& ip) {
-  return {resident_bytes(pid) + unread_bytes(kernel_address_of(ip)), descriptors_of(pid)};
+  return {resident_bytes(pid) + unread_bytes(Side::local, kernel_address_of(ip)), descriptors_of(pid)};
 }
 
 }  // namespace robinpin::mesh_test
