What waits unread at a connection that a process opens is bounded

Seen: with a server that sends interim answers without end to 150 callers, the sidecar's machine held 118 MB of 64 (resident, and arrived but not read). Cause: only accepted connections had a bounded receive buffer; the kernel let those to servers and nodes grow with what their peers send, while the process was busy.

The bound is set before connecting, 128 KiB (64 KiB for accepted ones), in Connection::connect, so that every program has it: sidecar, core, `serve`, lists, calls between processes of a fleet.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,5 +1,6 @@
 #include "connection.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -155,6 +156,9 @@
 awaitable<asio::error_code> Connection::connect(tcp::endpoint to) {
   asio::error_code error;
   const auto begun = steady::now();
+  socket.open(to.protocol(), error);
+  if (error) co_return error;
+  bound_unread_bytes(socket);
   co_await socket.async_connect(to, asio::redirect_error(asio::use_awaitable, error));
   round_trip_ = steady::now() - begun;
   if (!error) socket.set_option(tcp::no_delay(true), error);
@@ -173,6 +177,27 @@
   co_return error;
 }
 
+namespace {
+template <typename Socket>
+void bound_unread_bytes_to(Socket& socket, std::size_t bytes) {
+  // Segments have to be well below the window that this leaves: on loopback they would be longer, and a
+  // sender waits for a timer where none fits in.
+  constexpr std::size_t segments = 8;
+  asio::error_code ignored;
+  // The kernel doubles it, for its own overhead.
+  socket.set_option(asio::socket_base::receive_buffer_size(int(bytes / 2)), ignored);
+  socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>(int(bytes / segments)),
+                    ignored);
+}
+}  // namespace
+
+void bound_unread_bytes(tcp::acceptor& acceptor) {
+  bound_unread_bytes_to(acceptor, Connection::most_unread_bytes);
+}
+void bound_unread_bytes(tcp::socket& socket) {
+  bound_unread_bytes_to(socket, Connection::most_unread_answer_bytes);
+}
+
 void stamp_arrivals(int socket) {
   const int on = 1;
   ::setsockopt(socket, SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof on);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -75,8 +75,10 @@
 
 class Connection : public std::enable_shared_from_this<Connection>, private MemoryBudget::Consumer {
  public:
-  // What the kernel may hold of a peer's bytes that are not read yet, where an acceptor bounds it.
+  // What the kernel may hold of a peer's bytes that are not read yet: of a client's or another node's
+  // requests, and of answers, which come over longer ways.
   static constexpr std::size_t most_unread_bytes = 64 * 1024;
+  static constexpr std::size_t most_unread_answer_bytes = 128 * 1024;
 
   Connection(tcp::socket socket, Sockets& sockets, http_parser_type kind, Limits limits = {});
   ~Connection() override { close(); }
@@ -164,6 +166,11 @@
   steady::duration round_trip_{};
 };
 
+// Bounds what the kernel holds unread of each connection accepted there, or of that connection. To be called
+// before it listens or connects.
+void bound_unread_bytes(tcp::acceptor& acceptor);
+void bound_unread_bytes(tcp::socket& socket);
+
 // Has the kernel stamp what reaches this socket, or those accepted from it.
 void stamp_arrivals(int socket);
 
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -1,7 +1,6 @@
 #include "server.h"
 
 #include <fmt/format.h>
-#include <netinet/tcp.h>
 
 #include "../net/detached.h"
 #include "../net/listening.h"
@@ -37,18 +36,6 @@
                      keeps_connection ? "" : "Connection: close\r\n");
 }
 
-// Bounds what the kernel holds unread of each accepted connection. Segments have to be well below the window
-// that this leaves: on loopback they would be longer, and a sender waits for a timer where none fits in.
-void bound_unread_bytes(tcp::acceptor& acceptor) {
-  constexpr int most_segment_bytes = int(node::Connection::most_unread_bytes / 8);
-  asio::error_code ignored;
-  // The kernel doubles it, for its own overhead.
-  acceptor.set_option(asio::socket_base::receive_buffer_size(int(node::Connection::most_unread_bytes / 2)),
-                      ignored);
-  acceptor.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>(most_segment_bytes),
-                      ignored);
-}
-
 bool may_read_on(codec::reading reading) {
   return reading == codec::reading::unfinished || reading == codec::reading::complete;
 }
@@ -99,7 +86,7 @@
 
 awaitable<void> accept(tcp::acceptor& acceptor, Sockets& sockets, codec::Limits limits,
                        std::function<awaitable<void>(std::shared_ptr<Connection>)> serve) {
-  bound_unread_bytes(acceptor);
+  node::bound_unread_bytes(acceptor);
   while (acceptor.is_open()) {
     asio::error_code error;
     tcp::socket socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
