Interim answers before an answer are limited to sixteen

Seen: callers of a server that sends 1xx answers without end waited for their whole deadline and heard 504 (128 of 172 calls; 44 were 503), while the sidecar read what was sent. Cause: the loop over interim answers had no bound.

--- a/src/sidecar/upstream_pool.cpp
+++ b/src/sidecar/upstream_pool.cpp
@@ -13,8 +13,9 @@
 using namespace std::chrono_literals;
 constexpr codec::Limits answer_limits = {64 * 1024, 64 * 1024 * 1024};
 constexpr int most_strangers = 4;
-constexpr auto stall_limit = 5s;     // no byte of a long body for so long ends it
-constexpr auto read_out_limit = 2s;  // for what is left of one that nobody wants any more
+constexpr int most_interim_answers = 16;  // before an answer
+constexpr auto stall_limit = 5s;          // no byte of a long body for so long ends it
+constexpr auto read_out_limit = 2s;       // for what is left of one that nobody wants any more
 }  // namespace
 
 bool of_connection(std::string_view name, std::string_view listed) {
@@ -238,7 +239,7 @@
   }
   if (error || in_flight->off) co_return told();
   bool nameless_refusal = false;
-  for (int strangers = 0;;) {
+  for (int strangers = 0, interims = 0;;) {
     codec::reading got = c.in.whole() ? codec::reading::complete : co_await c.read(error);
     if (in_flight->off || got == codec::reading::unfinished) co_return told();
     if (got != codec::reading::complete) {
@@ -261,7 +262,8 @@
     if (!interim && ours) break;
     // Before its body was sent whole no server has said anything of it: there is nothing to wait for.
     if (f.early && !interim) co_return told();
-    if (!interim && (!options_.strangers || nameless || ++strangers > most_strangers)) {
+    if (interim ? ++interims > most_interim_answers
+                : !options_.strangers || nameless || ++strangers > most_strangers) {
       f.broken = true;
       co_return told();
     }
