A server's answers have a share of the account, and others find room beside it

Cause: the account knew how much was held, not for whom. The bound on long answers did not hold at all, as they were recorded as ordinary after each read; so one server took the whole budget, and the next client's first bytes found no room. What was evicted then was a client, also where that freed nothing of what was short. An idle connection stayed counted with its longest answer.

Now each server's answers grow no further than to what is left free for all others (dynamic threshold) or a sixteenth of the budget; beyond that its own connection is closed and its caller hears 502. Long answers are recorded as such; who is evicted holds what is short; idle connections are counted as they are. A request's first 2 KB are always read, and what then finds no room is answered 503 (between nodes X-Mesh-Held: memory) in place of a reset; none is begun without room for its answer. E120 and /v1/status name the last server over its share.

--- a/src/app/mesh_process.cpp
+++ b/src/app/mesh_process.cpp
@@ -205,8 +205,9 @@
   logged_memory_refusals_ = refusals;
   next_memory_log_ = at + memory_log_interval;
   event_log_.append(EventType::memory_short, at,
-                    fmt::format("limit={} in_use={} refused={} closed={}", account.limit(), account.in_use(),
-                                account.refused(), account.evicted()));
+                    fmt::format("limit={} in_use={} refused={} closed={} over_share={} last_server={}",
+                                account.limit(), account.in_use(), account.refused(), account.evicted(),
+                                account.refused_by_share(), account.last_refused_server()));
 }
 
 void MeshProcess::recover_from_clock_jump(std::int64_t at) {
--- a/src/app/status_json.cpp
+++ b/src/app/status_json.cpp
@@ -52,6 +52,8 @@
   put_count(json, "highest", memory.highest());
   put_count(json, "refused", memory.refused());
   put_count(json, "closed", memory.evicted());
+  put_count(json, "over_share", memory.refused_by_share());
+  put_text(json, "last_server_over_share", memory.last_refused_server());
   json.EndObject();
 }
 
--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::size_t first_size = 2048, kept_size = 16 * 1024, kept_headers = 128, believed = 64 * 1024,
-                      streamed = 32 * 1024;
+constexpr std::size_t first_size = Message::first_buffer_bytes, kept_size = 16 * 1024, kept_headers = 128,
+                      believed = 64 * 1024, streamed = 32 * 1024;
 
 char lower(char c) { return c >= 'A' && c <= 'Z' ? char(c - 'A' + 'a') : c; }
 
@@ -218,6 +218,14 @@
   return parse();
 }
 
+void Message::discard() {
+  forget();
+  std::vector<char>().swap(buffer_);
+  decltype(headers_)().swap(headers_);
+  parsed_ = end_ = 0;
+  failed_ = reading::malformed;
+}
+
 void Message::let_go() {
   if (behind() || buffer_.size() <= kept_size) return;
   const bool stays = keep_alive_;
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -29,6 +29,7 @@
   Message(const Message&) = delete;
   Message& operator=(const Message&) = delete;
 
+  static constexpr std::size_t first_buffer_bytes = 2048;
   // Room for the next bytes, and how many of them have come.
   std::pair<char*, std::size_t> room();
   // Bytes of memory that it holds, and that it will hold once room() has made room.
@@ -41,6 +42,9 @@
   // Drops the message that was read and looks at what came behind it.
   reading next();
 
+  // Gives back the memory of a message that is not read on. All that is read later is malformed.
+  void discard();
+
   // The head is whole and its body more than that, as told or as it has come.
   bool longer_than(std::size_t kept) const {
     return head_done_ && !complete_ && (body_.size > kept || (told() && *told() > kept));
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -48,13 +48,14 @@
   return true;
 }
 
-Connection::Connection(tcp::socket s, Sockets& sockets, http_parser_type kind, Limits limits)
+Connection::Connection(tcp::socket s, Sockets& sockets, http_parser_type kind, Limits limits,
+                       std::shared_ptr<MemoryBudget::Share> share)
     : socket(std::move(s)),
       in(kind, limits),
       sockets_(sockets),
       registry_(sockets.registry_),
       is_peers_request_(kind == HTTP_REQUEST),
-      memory_(sockets.shared_memory()),
+      memory_(sockets.shared_memory(), std::move(share)),
       consumer_(sockets.memory().add(this)),
       connection_(registry_->connections.insert(registry_->connections.end(), this)),
       timer_(socket.get_executor()) {}
@@ -66,14 +67,14 @@
 }
 
 void Connection::set_accepted() {
-  unread_allowance_ = most_unread_bytes;
+  is_accepted_ = true;
   accepted_ = registry_->accepted.insert(registry_->accepted.end(), this);
 }
 
 // Not while a request is at work: its caller has sent it whole.
-std::size_t Connection::evictable_bytes() const {
+std::size_t Connection::evictable_bytes(std::optional<MemoryBudget::Use> use) const {
   if (!is_peers_request_ || !open() || (phase_ != Phase::reading && phase_ != Phase::writing)) return 0;
-  return memory_.bytes() + (answer_memory_ ? answer_memory_->bytes() : 0);
+  return memory_.bytes(use) + (answer_memory_ ? answer_memory_->bytes(use) : 0);
 }
 
 // What it holds is freed as whoever uses it goes on.
@@ -89,20 +90,37 @@
   phase_since_ = steady::now();
 }
 
-bool Connection::reserve_capacity() {
-  const std::size_t bytes = in.footprint_with_room() + (in.begun() ? unread_allowance_ : 0);
+MemoryBudget::Use Connection::memory_use(std::size_t footprint) const {
   constexpr std::size_t long_answer = 64 * 1024;
-  const MemoryBudget::Use use = is_peers_request_     ? MemoryBudget::Use::partial_request
-                                : bytes > long_answer ? MemoryBudget::Use::long_answer
-                                                      : MemoryBudget::Use::ordinary;
-  return memory_.resize(bytes, use);
+  if (is_peers_request_) return MemoryBudget::Use::partial_request;
+  return footprint > long_answer ? MemoryBudget::Use::long_answer : MemoryBudget::Use::ordinary;
+}
+
+// A server whose answer is short has sent no more than that.
+std::size_t Connection::unread_allowance(std::size_t footprint) const {
+  constexpr std::size_t short_answer = 16 * 1024;
+  if (!in.begun()) return 0;
+  if (is_accepted_) return most_unread_bytes;
+  return !is_peers_request_ && footprint > short_answer ? most_unread_answer_bytes : 0;
+}
+
+bool Connection::reserve_capacity() {
+  const std::size_t footprint = in.footprint_with_room();
+  const std::size_t bytes = footprint + unread_allowance(footprint);
+  const MemoryBudget::Use use = memory_use(footprint);
+  // The number of connections bounds these: so what a message wants is known, and it can be answered.
+  const bool is_first_read = !in.begun() && footprint <= Message::first_buffer_bytes;
+  if (!is_first_read) return memory_.resize(bytes, use);
+  memory_.record(bytes, use);
+  return true;
 }
 
 void Connection::record_memory() {
   if (!open()) return memory_.release();
-  const bool is_partial = is_peers_request_ && in.begun() && !in.whole();
-  memory_.record(in.footprint() + (in.begun() ? unread_allowance_ : 0),
-                 is_partial ? MemoryBudget::Use::partial_request : MemoryBudget::Use::ordinary);
+  const std::size_t footprint = in.footprint();
+  const bool is_whole_request = is_peers_request_ && (!in.begun() || in.whole());
+  memory_.record(footprint + unread_allowance(footprint),
+                 is_whole_request ? MemoryBudget::Use::ordinary : memory_use(footprint));
 }
 
 void Connection::close() {
@@ -258,6 +276,11 @@
   co_return whole ? reading::complete : reading::unfinished;
 }
 
+void Connection::discard() {
+  in.discard();
+  record_memory();
+}
+
 reading Connection::next() {
   const reading behind = in.next();
   message_arrived_ = arrived_;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -80,7 +80,9 @@
   static constexpr std::size_t most_unread_bytes = 64 * 1024;
   static constexpr std::size_t most_unread_answer_bytes = 128 * 1024;
 
-  Connection(tcp::socket socket, Sockets& sockets, http_parser_type kind, Limits limits = {});
+  // `share`: of what the answers of the server hold that it connects to, if they are bounded together.
+  Connection(tcp::socket socket, Sockets& sockets, http_parser_type kind, Limits limits = {},
+             std::shared_ptr<MemoryBudget::Share> share = nullptr);
   ~Connection() override { close(); }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -117,8 +119,11 @@
   // much time.
   awaitable<reading> read(asio::error_code& error, std::size_t kept = all, std::size_t bytes_a_second = 0,
                           steady::duration patience = {});
-  // Reads once, what comes next of a message that has begun.
+  // Reads once, what comes next of a message that has begun. `error` is no_buffer_space if the budget has no
+  // room for it.
   awaitable<reading> more(asio::error_code& error);
+  // Drops what has come of a message that is not read on; the connection can only be written to from now on.
+  void discard();
   // Drops the message that was read and looks at what came behind it.
   reading next();
 
@@ -137,13 +142,16 @@
 
  private:
   enum class Phase { resting, reading, working, writing };
-  std::size_t evictable_bytes() const override;
+  std::size_t evictable_bytes(std::optional<MemoryBudget::Use> use) const override;
   steady::time_point in_use_since() const override { return phase_since_; }
   void evict() override;
   void unregister();
   void enter(Phase phase);
   bool reserve_capacity();
   void record_memory();
+  // What `footprint` bytes of a message are held for, and how many the kernel may hold besides.
+  MemoryBudget::Use memory_use(std::size_t footprint) const;
+  std::size_t unread_allowance(std::size_t footprint) const;
 
   enum class peeked { nothing, bytes, end };
   peeked peek();
@@ -158,7 +166,7 @@
   std::optional<std::list<Connection*>::iterator> accepted_;
   Phase phase_ = Phase::resting;
   steady::time_point phase_since_{};
-  std::size_t unread_allowance_ = 0;
+  bool is_accepted_ = false;
   asio::steady_timer timer_;
   std::uint64_t round_ = 0;
   bool counted_ = true, ran_out_ = false;
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -1,6 +1,7 @@
 // One budget of the memory that a process holds for its peers: messages that are read or written, and what
 // the kernel may hold unread for them. What does not fit is refused, and who has held most for longest is
-// closed first.
+// closed first. The answers of one server have a share of it, so that one that sends without end takes that
+// and no more.
 //
 // Not thread-safe: one thread uses a budget and all reservations on it.
 #pragma once
@@ -11,6 +12,9 @@
 #include <limits>
 #include <list>
 #include <memory>
+#include <optional>
+#include <string>
+#include <utility>
 
 #include "clock.h"
 
@@ -19,7 +23,8 @@
 class MemoryBudget : public std::enable_shared_from_this<MemoryBudget> {
  public:
   // What memory is held for. Each use but `ordinary` has a limit of its own below that of the budget, so
-  // that it never takes the last of it; a single reservation may go beyond the limit of its use.
+  // that it never takes the last of it; a single reservation may go beyond the limit of its use, a long
+  // answer to seven eighths of the budget.
   enum class Use { ordinary, partial_request, long_answer };
   static constexpr std::size_t uses = 3;
   static constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
@@ -30,17 +35,31 @@
   class Consumer {
    public:
     virtual ~Consumer() = default;
-    // Bytes that evict() frees; 0: it must not be closed now.
-    virtual std::size_t evictable_bytes() const = 0;
+    // Bytes of that use (none: of all) that evict() frees; 0: it must not be closed now.
+    virtual std::size_t evictable_bytes(std::optional<Use> use) const = 0;
     virtual steady::time_point in_use_since() const = 0;
     virtual void evict() = 0;
   };
   using Consumers = std::list<Consumer*>;
 
-  // Bytes taken from a budget, given back with the reservation.
+  // What the reservations of one server's answers hold together. They grow no further than to what is left
+  // free for all others, so several such servers leave room, too; a small share is always granted.
+  class Share {
+   public:
+    explicit Share(std::string server) : server_(std::move(server)) {}
+    std::size_t bytes() const { return bytes_; }
+
+   private:
+    friend class MemoryBudget;
+    const std::string server_;
+    std::size_t bytes_ = 0;
+  };
+
+  // Bytes taken from a budget, and of the share if there is one, given back with the reservation.
   class Reservation {
    public:
-    explicit Reservation(std::shared_ptr<MemoryBudget> budget) : budget_(std::move(budget)) {}
+    explicit Reservation(std::shared_ptr<MemoryBudget> budget, std::shared_ptr<Share> share = nullptr)
+        : budget_(std::move(budget)), share_(std::move(share)) {}
     ~Reservation() { release(); }
     Reservation(const Reservation&) = delete;
     Reservation& operator=(const Reservation&) = delete;
@@ -50,9 +69,11 @@
     void record(std::size_t bytes, Use use);
     void release() { record(0, use_); }
     std::size_t bytes() const { return bytes_; }
+    std::size_t bytes(std::optional<Use> use) const { return !use || *use == use_ ? bytes_ : 0; }
 
    private:
     std::shared_ptr<MemoryBudget> budget_;
+    std::shared_ptr<Share> share_;
     std::size_t bytes_ = 0;
     Use use_ = Use::ordinary;
   };
@@ -69,18 +90,29 @@
   std::size_t highest() const { return highest_; }
   std::uint64_t refused() const { return refused_; }  // reservations
   std::uint64_t evicted() const { return evicted_; }  // consumers
-  bool is_full() const { return in_use_ >= limit_; }
+  // Reservations refused because their share was too large already, and the server of the last of them.
+  std::uint64_t refused_by_share() const { return refused_by_share_; }
+  const std::string& last_refused_server() const { return last_refused_server_; }
+  // Whether a further request may be begun: its answer needs room, too.
+  bool has_room_for_request() const;
 
  private:
-  bool has_capacity(std::size_t more, std::size_t own, Use use) const;
-  bool evict_one();
-  void change(std::size_t from, Use from_use, std::size_t to, Use to_use);
+  struct Change {
+    std::size_t from = 0, to = 0;  // bytes
+    Use from_use = Use::ordinary, to_use = Use::ordinary;
+  };
+  bool fits_in_limit(const Change& change) const;
+  bool fits_in_use(const Change& change) const;
+  bool fits_in_share(const Change& change, const Share& share) const;
+  bool evict_one(std::optional<Use> use);
+  void apply(const Change& change);
   std::size_t limit_of(Use use) const;
 
   const std::size_t limit_;
   std::size_t in_use_ = 0, highest_ = 0;
   std::array<std::size_t, uses> by_use_{};
-  std::uint64_t refused_ = 0, evicted_ = 0;
+  std::uint64_t refused_ = 0, evicted_ = 0, refused_by_share_ = 0;
+  std::string last_refused_server_;
   Consumers consumers_;
 };
 
--- a/src/sidecar/client_connections.cpp
+++ b/src/sidecar/client_connections.cpp
@@ -14,6 +14,19 @@
 constexpr std::chrono::seconds out_limit{1};
 }  // namespace
 
+// For want of memory: it has not been passed on. A connection closed over unread bytes would be reset.
+awaitable<void> OutboundProxy::refuse_unread(std::shared_ptr<Connection> c) {
+  ++counts_.refused;
+  c->discard();
+  c->limit(steady::now() + write_limit);
+  const Answer answer = own(503, "this node holds all it can", unready_back);
+  const std::string head = fmt::format("HTTP/1.1 503 {}\r\n{}Content-Length: {}\r\nConnection: close\r\n\r\n",
+                                       rpc::phrase(answer.status), answer.headers, answer.body.size());
+  std::size_t written = 0;
+  const asio::error_code error = co_await c->write(head, answer.body, written);
+  if (!error) co_await c->see_out(out_limit);
+}
+
 awaitable<void> OutboundProxy::serve(std::shared_ptr<Connection> c) {
   callers_.push_back(c);
   for (bool first = true;; first = false) {
@@ -33,6 +46,7 @@
     asio::error_code error;
     const codec::reading got =
         c->in.whole() ? codec::reading::complete : co_await c->read(error, Source::kept, pace);
+    if (error == asio::error::no_buffer_space) co_return co_await refuse_unread(c);
     if (error || got == codec::reading::unfinished) co_return;
     c->no_limit();
     Answer a;
@@ -53,7 +67,7 @@
       }
       const ScopedCount body_bytes(bodies_, source ? Source::kept : c->in.body().size());
       most_held_ = std::max(most_held_, *bodies_);
-      if (*bodies_ <= most_bodies_ && !sockets_.memory().is_full())
+      if (*bodies_ <= most_bodies_ && sockets_.memory().has_room_for_request())
         a = co_await answer_to(c, source, gone);
       else
         ++counts_.refused, a = own(503, "this node holds all it can", unready_back);
--- a/src/sidecar/outbound_proxy.h
+++ b/src/sidecar/outbound_proxy.h
@@ -75,6 +75,7 @@
     std::shared_ptr<node::MemoryBudget::Reservation> held;  // the body's
   };
 
+  awaitable<void> refuse_unread(std::shared_ptr<Connection> c);
   awaitable<Answer> answer_to(std::shared_ptr<Connection> c, std::shared_ptr<Source> source, bool& gone);
   awaitable<Answer> run(std::shared_ptr<Connection> c, client_request t, bool& gone);
   awaitable<void> post(client_request t, node::Order order);
--- a/src/sidecar/peer_connections.cpp
+++ b/src/sidecar/peer_connections.cpp
@@ -15,6 +15,15 @@
 
 using namespace std::chrono_literals;
 constexpr std::chrono::seconds body_limit{10};
+constexpr std::chrono::seconds refused_body_limit{1};  // to send on what is refused already
+constexpr std::string_view no_memory = "memory";       // why a request is held back
+
+// Of the answer to a request that this node holds back before its server hears of it.
+std::string held_head(const codec::Message& request, std::string_view why) {
+  return fmt::format(
+      "HTTP/1.1 503 Held\r\n{}: {}\r\nX-Attempt-Id: {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+      held_header, why, request.header("X-Attempt-Id"));
+}
 
 admission::AdmissionController::RequestInfo asked_by(const codec::Message& m) {
   const auto told = [&](std::string_view name) {
@@ -53,14 +62,20 @@
     admission::RejectReason early = admission::RejectReason::none;
     const codec::reading got =
         c->in.whole() ? codec::reading::complete : co_await read_inner(*c, error, early);
+    const bool is_named = c->in.times("X-Attempt-Id") == 1;
+    if (error == asio::error::no_buffer_space && is_named) {
+      const std::string head = held_head(c->in, no_memory);
+      c->discard();
+      c->limit(steady::now() + write_limit);
+      std::size_t written = 0;
+      error = co_await c->write(head, {}, written);
+      if (!error) co_await c->see_out(refused_body_limit);
+      co_return;
+    }
     if (error) co_return;
     if (early != admission::RejectReason::none) {
       std::size_t written = 0;
-      co_await c->write(fmt::format("HTTP/1.1 503 Held\r\n{}: {}\r\nX-Attempt-Id: {}\r\nConnection: "
-                                    "close\r\nContent-Length: 0\r\n\r\n",
-                                    held_header, admission::reject_reason_names[std::size_t(early)],
-                                    c->in.header("X-Attempt-Id")),
-                        {}, written);
+      co_await c->write(held_head(c->in, admission::reject_reason_names[std::size_t(early)]), {}, written);
       co_return;
     }
     const auto source = got == codec::reading::longer ? std::make_shared<Source>(io_, c) : nullptr;
@@ -95,7 +110,10 @@
     } else {
       const auto in_flight = std::make_shared<InFlightRequest>();
       Result r;
-      {
+      if (!sockets_.memory().has_room_for_request()) {
+        r.how = outcome::held;
+        r.why = no_memory;
+      } else {
         const DisconnectWatch watch(c, source, [&gone, in_flight] {
           gone = true;
           in_flight->call_off();
--- a/src/sidecar/upstream_pool.cpp
+++ b/src/sidecar/upstream_pool.cpp
@@ -181,7 +181,7 @@
     if (!sockets_.ensure_capacity()) co_return told();
     ++dials;
     in_flight->connection =
-        std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE, answer_limits);
+        std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE, answer_limits, share_);
     in_flight->connection->limit(std::min(until, steady::now() + options_.dial_limit));
     const auto failed = co_await in_flight->connection->connect(to_);
     if (failed || in_flight->off) co_return told();
@@ -302,7 +302,7 @@
   // A copy of a refusal that named no request could be any request's.
   if (wanted && !nameless_refusal && lane.incarnation == incarnation_ && c.in.keep_alive() &&
       !c.in.behind() && idle_.size() < options_.most_idle) {
-    c.in.next();
+    c.next();
     c.no_limit();
     if (c.quiet()) {
       c.idle_since = steady::now() + keep;
--- a/src/sidecar/upstream_pool.h
+++ b/src/sidecar/upstream_pool.h
@@ -3,6 +3,8 @@
 // (docs/design/calls.md).
 #pragma once
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <cstdint>
@@ -47,7 +49,7 @@
   std::string id, method, target;
   std::string headers;  // each with its line end; without those that the way itself writes
   std::shared_ptr<const std::string> body;
-  std::shared_ptr<Source> source;  // in its place, for a long one
+  std::shared_ptr<Source> source;                // in its place, for a long one
 };
 
 // Before `written` it is known not to have run: an incomplete request is never begun.
@@ -96,7 +98,12 @@
 class UpstreamPool {
  public:
   UpstreamPool(asio::io_context& io, Sockets& sockets, tcp::endpoint to, ConnectionOptions manners)
-      : io_(io), sockets_(sockets), to_(to), options_(manners) {}
+      : io_(io),
+        sockets_(sockets),
+        to_(to),
+        options_(manners),
+        share_(std::make_shared<node::MemoryBudget::Share>(
+            fmt::format("{}:{}", to.address().to_string(), to.port()))) {}
   // Errors are values in the fate. `until`: no byte is waited for longer.
   awaitable<UpstreamResult> carry(std::shared_ptr<InFlightRequest> in_flight,
                                   std::shared_ptr<const OutgoingRequest> request, steady::time_point until);
@@ -128,6 +135,7 @@
   Sockets& sockets_;
   tcp::endpoint to_;
   ConnectionOptions options_;
+  const std::shared_ptr<node::MemoryBudget::Share> share_;  // of its answers
   std::uint64_t incarnation_ = 0;
   std::deque<PooledConnection> idle_;
 };
--- a/tests/mesh/memory_budget_test.cpp
+++ b/tests/mesh/memory_budget_test.cpp
@@ -1,6 +1,7 @@
 // The budget of what a process holds for its peers.
 #include <chrono>
 #include <memory>
+#include <optional>
 
 #include "../../src/net/memory_budget.h"
 
@@ -18,7 +19,7 @@
   Peer(const std::shared_ptr<MemoryBudget>& budget, std::chrono::seconds age)
       : memory(budget), budget_(*budget), since_(steady::now() - age), place_(budget_.add(this)) {}
   ~Peer() override { budget_.remove(place_); }
-  std::size_t evictable_bytes() const override { return memory.bytes(); }
+  std::size_t evictable_bytes(std::optional<Use> use) const override { return memory.bytes(use); }
   steady::time_point in_use_since() const override { return since_; }
   void evict() override { memory.release(); }
   Reservation memory;
@@ -75,3 +76,51 @@
   CHECK_EQUAL(400, just_now.memory.bytes());
   CHECK_EQUAL(2, budget->evicted());
 }
+
+// Guards against a server whose answers take what the peers of all other connections need.
+TEST(MemoryBudget, the_answers_of_one_server_leave_as_much_free_as_they_take) {
+  const auto budget = std::make_shared<MemoryBudget>(1'600);
+  const auto faulty = std::make_shared<MemoryBudget::Share>("faulty"),
+             sound = std::make_shared<MemoryBudget::Share>("sound");
+  Peer client(budget, std::chrono::seconds(60));
+  CHECK(client.memory.resize(100, Use::partial_request));
+  Reservation first(budget, faulty), second(budget, faulty), third(budget, faulty);
+  CHECK(first.resize(400, Use::long_answer));
+  CHECK(second.resize(350, Use::long_answer));
+  CHECK_FALSE(third.resize(1, Use::ordinary));  // 750 of its own, 750 free
+  CHECK_FALSE(first.resize(401, Use::long_answer));
+  CHECK_EQUAL(100, client.memory.bytes());  // nobody is closed for it
+  CHECK_EQUAL(2, budget->refused_by_share());
+  STRCMP_EQUAL("faulty", budget->last_refused_server().c_str());
+  Reservation answer(budget, sound), request(budget);
+  CHECK(answer.resize(300, Use::long_answer));
+  CHECK(request.resize(300, Use::ordinary));
+  second.release();
+  CHECK_EQUAL(400, faulty->bytes());
+}
+
+// Guards against long answers in calm that are refused, and short ones that are whatever else is held.
+TEST(MemoryBudget, a_single_long_answer_may_take_nearly_all_and_a_small_share_is_always_granted) {
+  const auto budget = std::make_shared<MemoryBudget>(1'600);
+  const auto one = std::make_shared<MemoryBudget::Share>("one"),
+             other = std::make_shared<MemoryBudget::Share>("other");
+  Reservation single(budget, one), further(budget, other);
+  CHECK(single.resize(100, Use::ordinary));
+  CHECK(single.resize(1'400, Use::long_answer));
+  CHECK_FALSE(single.resize(1'401, Use::long_answer));
+  CHECK(further.resize(100, Use::ordinary));
+  CHECK_FALSE(further.resize(101, Use::ordinary));
+}
+
+// Guards against a client in the midst of its request that is closed though that frees nothing of what is
+// short.
+TEST(MemoryBudget, who_holds_nothing_of_the_use_that_is_short_is_not_evicted) {
+  const auto budget = std::make_shared<MemoryBudget>(1'000);
+  Peer uploading(budget, std::chrono::seconds(60)), reading(budget, std::chrono::seconds(2));
+  CHECK(uploading.memory.resize(100, Use::partial_request));
+  CHECK(reading.memory.resize(600, Use::long_answer));
+  Reservation next(budget);
+  CHECK(next.resize(200, Use::long_answer));
+  CHECK_EQUAL(100, uploading.memory.bytes());
+  CHECK_EQUAL(0, reading.memory.bytes());
+}
