A probe's answer is read to 64 KiB of body at the most

A faulty server could answer a probe with as long a body as a request, which nobody reads: up to the server's whole share of the account, a second long. OutgoingRequest names the longest answer it wants; a longer one is a spoilt answer, its connection closed.

--- a/src/sidecar/inbound_proxy.cpp
+++ b/src/sidecar/inbound_proxy.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "proxy_limits.h"
+
 namespace robinpin::sidecar {
 
 using namespace std::chrono_literals;
@@ -123,6 +125,7 @@
   if (!admission_.has_server() || instance != admission_.server().id) co_return std::nullopt;
   auto request = std::make_shared<OutgoingRequest>();
   request->method = "GET";
+  request->longest_answer = longest_probe_answer;
   const auto service = plan_->services.find(admission_.server().service);
   request->target = service == plan_->services.end() ? "/probe" : service->second.probe;
   request->headers = "Host: " + admission_.server().address + "\r\n";
--- a/src/sidecar/probing.cpp
+++ b/src/sidecar/probing.cpp
@@ -20,6 +20,7 @@
     auto request = std::make_shared<OutgoingRequest>();
     request->method = "GET";
     request->target = "/";
+    request->longest_answer = longest_probe_answer;
     request->id = fmt::format("probe-{}", ++number_);
     request->headers = fmt::format("Host: mesh\r\nX-Mesh-Probe: 1\r\nX-Attempt-Id: {}\r\n{}: {}\r\n",
                                    request->id, instance_header, server);
--- a/src/sidecar/proxy_limits.h
+++ b/src/sidecar/proxy_limits.h
@@ -14,6 +14,7 @@
 // For writing an answer whole.
 constexpr std::chrono::seconds write_limit{10};
 constexpr std::chrono::seconds probe_limit{1};
+constexpr std::size_t longest_probe_answer = 64 * 1024;  // bytes of body, which nobody reads
 // Microseconds after which a client may try again at a node that is not ready.
 constexpr micros unready_back = 300'000;
 // Microseconds by which a server's deadline is earlier than its caller's, so that its answer arrives in time.
--- a/src/sidecar/upstream_pool.cpp
+++ b/src/sidecar/upstream_pool.cpp
@@ -240,7 +240,8 @@
   if (error || in_flight->off) co_return told();
   bool nameless_refusal = false;
   for (int strangers = 0, interims = 0;;) {
-    codec::reading got = c.in.whole() ? codec::reading::complete : co_await c.read(error);
+    codec::reading got =
+        c.in.whole() ? codec::reading::complete : co_await c.read(error, request->longest_answer);
     if (in_flight->off || got == codec::reading::unfinished) co_return told();
     if (got != codec::reading::complete) {
       f.broken = true;
--- a/src/sidecar/upstream_pool.h
+++ b/src/sidecar/upstream_pool.h
@@ -50,6 +50,7 @@
   std::string headers;  // each with its line end; without those that the way itself writes
   std::shared_ptr<const std::string> body;
   std::shared_ptr<Source> source;                // in its place, for a long one
+  std::size_t longest_answer = Connection::all;  // bytes of body; a longer one is a spoilt answer
 };
 
 // Before `written` it is known not to have run: an incomplete request is never begun.
--- a/tests/mesh/sidecar_test.cpp
+++ b/tests/mesh/sidecar_test.cpp
@@ -1237,6 +1237,38 @@
   CHECK_EQUAL(2, m.runs());
 }
 
+// Guards against interim answers without end, which held a request until its deadline.
+TEST(Sidecar, a_few_interim_answers_are_read_past_and_many_are_a_spoilt_answer) {
+  for (const auto& [interims, status] : {std::pair(16, 200), std::pair(17, 502)}) {
+    Mesh m(1);
+    m.box(0).answer = [&, count = interims](const codec::Message& in) {
+      std::string text;
+      for (int n = 0; n < count; ++n) text += "HTTP/1.1 103 Early Hints\r\n\r\n";
+      return ++m.box(0).runs, text + seal_of(in);
+    };
+    CHECK_EQUAL(status, m.post().status);
+    CHECK_EQUAL(1, m.runs());
+  }
+}
+
+// Guards against a probe that holds as much of a faulty server's answer as a request may.
+TEST(Sidecar, a_long_answer_to_a_probe_is_a_spoilt_one) {
+  Mesh m(1);
+  std::size_t bytes = 0;
+  m.box(0).answer = [&](const codec::Message&) {
+    return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", bytes, std::string(bytes, 'b'));
+  };
+  for (const auto& [longest, answered] : {std::pair(64 * 1024, true), std::pair(64 * 1024 + 1, false)}) {
+    bytes = std::size_t(longest);
+    std::optional<sidecar::UpstreamResult> probed;
+    asio::co_spawn(
+        m.io, [&]() -> awaitable<void> { probed = co_await m.hand(0).probe("i-0", 1s); }, asio::detached);
+    CHECK(m.until([&] { return probed.has_value(); }));
+    CHECK_EQUAL(answered, probed->how_far == sidecar::came::answered);
+    CHECK_EQUAL(!answered, probed->broken);
+  }
+}
+
 TEST(Sidecar, a_server_that_announces_its_warmup_in_a_probes_answer_is_treated_as_cold) {
   Mesh m(1);
   std::string answering = "i-9";  // another instance: says nothing of this one
