Interim answers are limited to sixteen for `robinpin serve`, too

The same loop without a bound stood in Servers::exchange: a server that sends 1xx answers without end held a posting until its expiry. More than sixteen are a spoilt answer now. Two rows more in peers_test's table of what comes back: sixteen settle, seventeen are an error; passed.

--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -12,6 +12,7 @@
 constexpr steady::duration least_doubt = std::chrono::milliseconds(1),
                            most_doubt = std::chrono::milliseconds(5);
 constexpr std::size_t most_idle = 64;  // kept to one server
+constexpr int most_interim_answers = 16;
 
 }  // namespace
 
@@ -192,7 +193,12 @@
   if (call.withdrawn) co_return;
   asio::error_code error;
   reading got = co_await c.read(error, most_kept, 0, open_ended_kept);
-  while (got == reading::complete && c.in.status() < 200) {  // interim answers say nothing
+  // Interim answers say nothing.
+  for (int interims = 0; got == reading::complete && c.in.status() < 200;) {
+    if (++interims > most_interim_answers) {
+      got = reading::malformed;
+      break;
+    }
     got = c.in.next();
     if (got == reading::unfinished) got = co_await c.read(error, most_kept, 0, open_ended_kept);
   }
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -9,12 +9,19 @@
 
 namespace {
 const std::string fine = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nServer-Load: pending=3,x=1\r\n\r\nhello";
+std::string interims(int count) {
+  std::string text;
+  for (int n = 0; n < count; ++n) text += "HTTP/1.1 102 Processing\r\n\r\n";
+  return text;
 }
+}  // namespace
 
 TEST_CASE("what comes back tells the outcome, and only what was turned away before its start never ran") {
   const auto [says, how] = GENERATE(table<std::string, ending>({
       {fine, ending::settled},
       {"HTTP/1.1 100 Continue\r\n\r\n" + fine, ending::settled},
+      {interims(16) + fine, ending::settled},
+      {interims(17) + fine, ending::error},  // they could go on without end
       {"HTTP/1.1 101 Other\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + fine, ending::settled},
       {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nto the end", ending::settled},
       {"HTTP/1.1 200 OK\r\n\r\nno end is told", ending::error},
