The only long answer at a time leaves an eighth of the account free

Seen: in FaultyServer chunks 8 of 144, 9 of 170, 2 of 247 and 6 of 167 calls of the sound service were answered 503, "this node holds all it can". Cause: the exemption for the only long answer bounded its own bytes, not what it leaves beside the requests; one coroutine reads a server that pours without a pause, so that it is the only one for a while.

FaultyServer: thirteen passed, one run each; chunks 81 of 81 calls of the sound service 200, all others of the running sidecar likewise, of the frozen one 28 of 40, the rest 503.

--- a/src/net/memory_budget.cpp
+++ b/src/net/memory_budget.cpp
@@ -9,7 +9,7 @@
 // Parts of the budget, as divisors.
 constexpr std::size_t partial_request_part = 2;
 constexpr std::size_t spared_by_long_answers_part = 4;
-constexpr std::size_t spared_by_single_long_answer_part = 8;
+constexpr std::size_t spared_by_single_answer_part = 8;
 constexpr std::size_t least_share_part = 16;
 constexpr std::size_t request_part = 128;
 
@@ -38,10 +38,7 @@
 bool MemoryBudget::fits_in_use(const Change& change) const {
   const std::size_t own = change.from_use == change.to_use ? change.from : 0;
   const std::size_t of_others = by_use_[std::size_t(change.to_use)] - own;
-  if (of_others + change.to <= limit_of(change.to_use)) return true;
-  if (of_others > 0) return false;
-  return change.to_use != Use::long_answer ||
-         change.to <= limit_ - limit_ / spared_by_single_long_answer_part;
+  return of_others == 0 || of_others + change.to <= limit_of(change.to_use);
 }
 
 bool MemoryBudget::fits_in_share(const Change& change, const Share& share) const {
@@ -51,8 +48,8 @@
   const std::size_t long_answers = by_use_[std::size_t(Use::long_answer)];
   const bool is_single =
       share.bytes_ == change.from && long_answers == (change.from_use == Use::long_answer ? change.from : 0);
-  const std::size_t taken_after = std::min(limit_, in_use_ + more);
-  return is_single || share_after <= limit_ - taken_after;
+  const std::size_t free_after = limit_ - std::min(limit_, in_use_ + more);
+  return free_after >= (is_single ? limit_ / spared_by_single_answer_part : share_after);
 }
 
 // The one whose bytes, times how long it has held them, are most.
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -23,8 +23,7 @@
 class MemoryBudget : public std::enable_shared_from_this<MemoryBudget> {
  public:
   // What memory is held for. Each use but `ordinary` has a limit of its own below that of the budget, so
-  // that it never takes the last of it; a single reservation may go beyond the limit of its use, a long
-  // answer to seven eighths of the budget.
+  // that it never takes the last of it; a single reservation may go beyond the limit of its use.
   enum class Use { ordinary, partial_request, long_answer };
   static constexpr std::size_t uses = 3;
   static constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
@@ -43,7 +42,8 @@
   using Consumers = std::list<Consumer*>;
 
   // What the reservations of one server's answers hold together. They grow no further than to what is left
-  // free for all others, so several such servers leave room, too; a small share is always granted.
+  // free for all others, so several such servers leave room, too. A small share is always granted; the only
+  // long answer at the time may grow until an eighth of the budget is free.
   class Share {
    public:
     explicit Share(std::string server) : server_(std::move(server)) {}
--- a/tests/mesh/memory_budget_test.cpp
+++ b/tests/mesh/memory_budget_test.cpp
@@ -110,6 +110,10 @@
   CHECK_FALSE(single.resize(1'401, Use::long_answer));
   CHECK(further.resize(100, Use::ordinary));
   CHECK_FALSE(further.resize(101, Use::ordinary));
+  CHECK(single.resize(1'200, Use::long_answer));
+  Reservation client(budget);
+  CHECK(client.resize(100, Use::ordinary));  // what others hold counts, too
+  CHECK_FALSE(single.resize(1'201, Use::long_answer));
 }
 
 // Guards against a client in the midst of its request that is closed though that frees nothing of what is
