Tests: one client of real processes for crowds, departures and faulty servers

Three groups each had a call over a connection of its own and two a loop that calls again; TestClient has both. An answer that did not come whole counts as none everywhere now, which two of the three did not check.

--- a/tests/mesh/crowd_test.cpp
+++ b/tests/mesh/crowd_test.cpp
@@ -5,6 +5,7 @@
 #include "help.h"
 #include "mesh_processes.h"
 #include "resource_usage.h"
+#include "test_client.h"
 
 #include "../../src/control_plane/request_validation.h"
 
@@ -172,34 +173,15 @@
   // A caller tries again until it is answered.
   awaitable<void> expect_answer(tcp::endpoint to, std::string method, std::string path,
                                 std::string body = "") {
-    int status = 0;
-    for (const auto until = steady::now() + limit; status != 200 && steady::now() < until;) {
-      status = co_await call(to, method, path, body);
-      if (status != 200) co_await core_.span(20ms);
-    }
+    const int status = co_await client_.request_until_served(to, method, path, body, limit);
     expect(status == 200, fmt::format("{} {} is answered {} in the end", method, path, status));
   }
-  // The status; 0: no answer.
-  awaitable<int> call(tcp::endpoint to, std::string method, std::string path, std::string body) {
-    const auto c = std::make_shared<node::Connection>(tcp::socket(loop_.io), loop_.sockets, HTTP_RESPONSE,
-                                                      message_limits);
-    c->limit(steady::now() + 5s);
-    asio::error_code error = co_await c->connect(to);
-    const std::string head = fmt::format(
-        "{} {} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nX-Attempt-Id: r{}\r\nX-Remaining-Ms: "
-        "4000\r\nContent-Length: {}\r\n\r\n",
-        method, path, ++requests_, body.size());
-    std::size_t written = 0;
-    if (!error) error = co_await c->write(head, body, written);
-    if (!error) co_await c->read(error);
-    co_return error ? 0 : c->in.status();
-  }
 
   Loop loop_;
+  TestClient client_{loop_};
   Core core_;
   std::set<std::string> arrived_;
   std::unique_ptr<Sidecar> servers_, callers_;
-  int requests_ = 0;
   std::string faults_;
 };
 
--- a/tests/mesh/departure_test.cpp
+++ b/tests/mesh/departure_test.cpp
@@ -3,6 +3,7 @@
 // where the test orders the events, and with processes.
 #include "mesh_processes.h"
 #include "simulated_core.h"
+#include "test_client.h"
 
 #include "../../src/admission/admission_controller.h"
 #include "../../src/app/instance_retirements.h"
@@ -114,7 +115,8 @@
   awaitable<void> no_core() {
     co_await begin();
     core_.end_all();
-    const int status = co_await call(sidecar_->control(), "POST", "/v1/Servers.Departure/i-a", "");
+    const int status =
+        co_await client_.call(sidecar_->control(), "POST", "/v1/Servers.Departure/i-a", "", "");
     expect(status == 503, fmt::format("a departure that no core records is answered {}", status));
     co_await expect_no_arrival("after a departure that was not acknowledged");
   }
@@ -145,7 +147,7 @@
     sidecar_->start();
     int status = 0;
     for (const auto until = steady::now() + limit; status != 200 && steady::now() < until;) {
-      status = co_await call(sidecar_->readiness(), "GET", "/v1/readiness", "");
+      status = co_await client_.call(sidecar_->readiness(), "GET", "/v1/readiness", "", "");
       co_await core_.span(10ms);
     }
     expect(status == 200, "the sidecar does not become ready");
@@ -154,7 +156,7 @@
     const std::string path = "/v1/Servers.Departure/" + id;
     int status = 0;
     for (const auto until = steady::now() + limit; status != 200 && steady::now() < until;)
-      status = co_await call(sidecar_->control(), "POST", path, "");
+      status = co_await client_.call(sidecar_->control(), "POST", path, "", "");
     expect(status == 200, "the departure is not acknowledged");
   }
   // Made before the departure, it arrives now.
@@ -174,7 +176,7 @@
 
   awaitable<int> request() {
     const std::string headers = fmt::format("X-Attempt-Id: r{}\r\nX-Remaining-Ms: 2000\r\n", ++requests_);
-    const int status = co_await call(sidecar_->outbound(), "GET", "/p0/x", "", headers);
+    const int status = co_await client_.call(sidecar_->outbound(), "GET", "/p0/x", headers, "");
     co_return status;
   }
   awaitable<int> heartbeat(std::string id, int sequence, std::string state) {
@@ -182,26 +184,12 @@
         R"({{"target":"one","address":"{}","zone":"east","revision":"v1","capacity":32,"state":"{}","warmup_left":"0ms","sequence":{}}})",
         sidecar_->server().address(), state, sequence);
     const std::string path = "/v1/Servers.Heartbeat/" + id;
-    const int status = co_await call(sidecar_->control(), "POST", path, body);
+    const int status = co_await client_.call(sidecar_->control(), "POST", path, "", body);
     co_return status;
   }
-  // The status; 0: no answer.
-  awaitable<int> call(tcp::endpoint to, std::string method, std::string path, std::string body,
-                      std::string headers = "") {
-    const auto c = std::make_shared<node::Connection>(tcp::socket(loop_.io), loop_.sockets, HTTP_RESPONSE,
-                                                      message_limits);
-    c->limit(steady::now() + 5s);
-    asio::error_code error = co_await c->connect(to);
-    const std::string head =
-        fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}Content-Length: {}\r\n\r\n",
-                    method, path, headers, body.size());
-    std::size_t written = 0;
-    if (!error) error = co_await c->write(head, body, written);
-    if (!error) co_await c->read(error);
-    co_return error ? 0 : c->in.status();
-  }
 
   Loop loop_;
+  TestClient client_{loop_};
   Core core_;
   std::set<std::string> arrived_;
   std::unique_ptr<Sidecar> sidecar_;
--- a/tests/mesh/faulty_server_test.cpp
+++ b/tests/mesh/faulty_server_test.cpp
@@ -4,6 +4,7 @@
 #include "help.h"
 #include "mesh_processes.h"
 #include "resource_usage.h"
+#include "test_client.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -114,7 +115,7 @@
   // Each request over a connection of its own, again after its answer.
   awaitable<void> ask_until(Callers& callers, Sidecar& at, std::string path, steady::time_point end) {
     while (steady::now() < end) {
-      const int status = co_await call(at.outbound(), "GET", path, "");
+      const int status = co_await client_.request(at.outbound(), "GET", path, "", limit);
       ++(status == 0 ? callers.unanswered : callers.answered);
       ++callers.by_status[status];
       co_await core_.span(20ms);
@@ -169,36 +170,16 @@
   }
   // A caller tries again until it is answered.
   awaitable<void> expect_answer(tcp::endpoint to, std::string method, std::string path, std::string body) {
-    int status = 0;
-    for (const auto until = steady::now() + limit; status != 200 && steady::now() < until;) {
-      status = co_await call(to, method, path, body);
-      if (status != 200) co_await core_.span(20ms);
-    }
+    const int status = co_await client_.request_until_served(to, method, path, body, limit);
     expect(status == 200, fmt::format("{} {} is answered {} in the end", method, path, status));
   }
-  // The status; 0: no answer.
-  awaitable<int> call(tcp::endpoint to, std::string method, std::string path, std::string body) {
-    const auto c = std::make_shared<node::Connection>(tcp::socket(loop_.io), loop_.sockets, HTTP_RESPONSE,
-                                                      message_limits);
-    c->limit(steady::now() + limit);
-    asio::error_code error = co_await c->connect(to);
-    const std::string head = fmt::format(
-        "{} {} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nX-Attempt-Id: r{}\r\nX-Remaining-Ms: "
-        "4000\r\nContent-Length: {}\r\n\r\n",
-        method, path, ++requests_, body.size());
-    std::size_t written = 0;
-    if (!error) error = co_await c->write(head, body, written);
-    codec::reading got = codec::reading::unfinished;
-    if (!error) got = co_await c->read(error);
-    co_return error || got != codec::reading::complete ? 0 : c->in.status();
-  }
 
   Loop loop_;
+  TestClient client_{loop_};
   Core core_;
   std::set<std::string> arrived_;
   std::unique_ptr<Sidecar> faulty_, sound_, apart_;
   std::map<Sidecar*, ResourceUsage> most_;
-  int requests_ = 0;
   std::string faults_;
 };
 
