Tests: crowds see what the kernel holds unsent, and ask whether others are answered

What callers saw: in a trial a process ran out of memory, and beside a crowd that reads nothing nobody was answered. Group Crowd could see neither: it counted resident memory and unread bytes only, and asked one ordinary request after the crowd had gone.

Now (stricter throughout): bytes written and not acknowledged count, of the sockets that the process has open, by inode, so those it opens itself too, and of those it has closed and the kernel keeps; what stands in the queue of another process at the same address (the application server of the test) no longer counts, as it is not the process's. Crowds connect again where they are closed, stay until one ordinary request was answered (3 s at least, 20 s at the most), and that request is checked beside them as well as after. Crowds more: answers of 300 KB never read, bodies that trickle at their end, twelve kinds mixed, 500 and 2,000 connections at the operators' memory_mb and file_limit (processes are started with that limit of descriptors, too). Bounds as before: memory_mb and file_limit of the settings.

Not run under the sanitizers yet.

--- a/tests/mesh/crowd.h
+++ b/tests/mesh/crowd.h
@@ -1,8 +1,13 @@
 // Clients outside the limits: connections that each send, or fail to read, as one kind of crowd does. Bounded
-// in number and in time.
+// in number; they stay until they are stopped, and connect again where they are closed.
 #pragma once
 
+#include <poll.h>
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <array>
+#include <list>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,57 +31,104 @@
   bodies_of_many_values,   // whole, JSON of as many values as fit in
   bodies_nested_deeply,    // whole, JSON lists in lists
   bodies_of_long_names,    // whole, JSON records whose fields have long names
+  unread_answers,          // of 300 KB, one asked for on each connection, never read
+  bodies_that_trickle,     // with a length, all but the last 1,000 bytes, then a byte each 0.3 s
+  mixed,                   // those that any port can be sent, side by side
 };
 
 // Where a crowd connects, and the requests that are sent there.
 struct CrowdTarget {
   tcp::endpoint to;
   std::string long_answer;     // the head of a request for a long answer, whole
+  std::string medium_answer;   // the same for one of 300 KB
   std::string body_request;    // the head of a request with a body, without its length and its end
   std::size_t body_bytes = 0;  // of such a body, legal at this port
 };
 
 class Crowd {
  public:
-  static constexpr int connections = 250;
+  static constexpr int usual_connections = 250;
   static constexpr int idle_connections = 900;  // beyond `file_limit`
-  static constexpr std::chrono::seconds duration{3};
+  static constexpr std::chrono::milliseconds pause_before_reconnect{200};
 
-  Crowd(Loop& loop, CrowdKind kind, CrowdTarget target)
-      : loop_(loop), kind_(kind), target_(std::move(target)), until_(steady::now() + duration) {}
+  Crowd(Loop& loop, CrowdKind kind, CrowdTarget target, int connections)
+      : loop_(loop), kind_(kind), target_(std::move(target)), connections_(connections) {
+    allow_descriptors();
+  }
 
-  // Starts all connections. Each lasts until it is closed or its time is over.
   void start() {
-    const int count = kind_ == CrowdKind::idle_connections ? idle_connections : connections;
-    for (int n = 0; n < count; ++n) {
+    for (int n = 0; n < connections_; ++n) {
       ++running_;
-      asio::co_spawn(loop_.io, behave(), [this](std::exception_ptr) { --running_; });
+      asio::co_spawn(loop_.io, connect_again_and_again(kind_of(n)),
+                     [this](std::exception_ptr) { --running_; });
     }
   }
+  // Closes all connections.
+  void stop() {
+    is_stopped_ = true;
+    const auto sockets = sockets_;
+    for (const Socket& socket : sockets) close(socket);
+  }
   bool is_over() const { return running_ == 0; }
 
  private:
   using Socket = std::shared_ptr<tcp::socket>;
 
-  awaitable<void> behave() {
-    const auto socket = std::make_shared<tcp::socket>(loop_.io);
-    const auto end = std::make_shared<asio::steady_timer>(loop_.io, until_);
-    end->async_wait([socket](asio::error_code cancelled) {
-      asio::error_code ignored;
-      if (!cancelled) socket->close(ignored);
-    });
+  // All that this process may have: the crowd and the servers behind it are in it.
+  static void allow_descriptors() {
+    rlimit descriptors{};
+    ::getrlimit(RLIMIT_NOFILE, &descriptors);
+    descriptors.rlim_cur = descriptors.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &descriptors);
+  }
+
+  static void close(const Socket& socket) {
+    asio::error_code ignored;
+    socket->close(ignored);
+  }
+
+  CrowdKind kind_of(int connection) const {
+    static constexpr std::array kinds = {CrowdKind::endless_header_value,   CrowdKind::endless_header_lines,
+                                         CrowdKind::almost_whole_heads,     CrowdKind::empty_lines,
+                                         CrowdKind::slow_readers,           CrowdKind::pipelined_unread,
+                                         CrowdKind::bodies_short_of_a_byte, CrowdKind::chunks_short_of_an_end,
+                                         CrowdKind::one_byte_chunks,        CrowdKind::whole_bodies,
+                                         CrowdKind::unread_answers,         CrowdKind::bodies_that_trickle};
+    return kind_ == CrowdKind::mixed ? kinds[std::size_t(connection) % kinds.size()] : kind_;
+  }
+
+  awaitable<void> pause(steady::duration time) {
+    constexpr steady::duration longest = 100ms;  // then it looks whether the crowd is stopped
+    for (const auto until = steady::now() + time; !is_stopped_ && steady::now() < until;) {
+      asio::steady_timer timer(loop_.io, std::min(longest, until - steady::now()));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }
+
+  awaitable<void> connect_again_and_again(CrowdKind kind) {
+    while (!is_stopped_) {
+      const auto socket = std::make_shared<tcp::socket>(loop_.io);
+      const auto place = sockets_.insert(sockets_.end(), socket);
+      co_await behave(socket, kind);
+      close(socket);
+      sockets_.erase(place);
+      co_await pause(pause_before_reconnect);
+    }
+  }
+
+  awaitable<void> behave(Socket socket, CrowdKind kind) {
     asio::error_code error;
     co_await socket->async_connect(target_.to, asio::redirect_error(asio::use_awaitable, error));
-    if (!error) co_await misbehave(socket);
-    if (socket->is_open() && kind_ != CrowdKind::idle_connections) co_await read_until_closed(socket);
-    if (socket->is_open()) co_await stand_still(socket);
-    end->cancel();
+    if (error) co_return;
+    co_await misbehave(socket, kind);
+    if (socket->is_open()) co_await read_until_closed(socket);
   }
 
-  awaitable<void> misbehave(Socket socket) {
+  awaitable<void> misbehave(Socket socket, CrowdKind kind) {
     static const std::string request_line = "GET /p0/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: c\r\n";
-    switch (kind_) {
+    switch (kind) {
       case CrowdKind::idle_connections:
+      case CrowdKind::mixed:
         break;
       case CrowdKind::endless_header_value:
         co_await send_once(socket, request_line + "X-Long: ");
@@ -121,6 +173,16 @@
       case CrowdKind::bodies_of_long_names:
         co_await send_whole_bodies(socket);
         break;
+      case CrowdKind::unread_answers:
+        co_await send_once(socket, target_.medium_answer);
+        co_await stand_still(socket);
+        break;
+      case CrowdKind::bodies_that_trickle:
+        co_await send_once(
+            socket, fmt::format("{}Content-Length: {}\r\n\r\n", target_.body_request, target_.body_bytes));
+        co_await send_bytes(socket, target_.body_bytes - trickled_bytes, std::string(65'536, 'b'));
+        co_await send_slowly(socket, trickled_bytes);
+        break;
     }
   }
 
@@ -160,6 +222,7 @@
     return text;
   }
 
+  static constexpr std::size_t trickled_bytes = 1'000;
   static std::string repeated(const std::string& text, std::size_t least_bytes) {
     std::string all;
     while (all.size() < least_bytes) all += text;
@@ -184,13 +247,21 @@
       co_await asio::async_write(*socket, part, asio::redirect_error(asio::use_awaitable, error));
     }
   }
+  awaitable<void> send_slowly(Socket socket, std::size_t bytes) {
+    static const std::string byte = "b";
+    asio::error_code error;
+    for (std::size_t sent = 0; sent < bytes && !error && !is_stopped_; ++sent) {
+      co_await asio::async_write(*socket, asio::buffer(byte),
+                                 asio::redirect_error(asio::use_awaitable, error));
+      co_await pause(300ms);
+    }
+  }
   // 2 KB a second.
   awaitable<void> read_slowly(Socket socket) {
     std::array<char, 200> bytes{};
     for (asio::error_code error; !error;) {
       co_await socket->async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-      asio::steady_timer pause(loop_.io, 100ms);
-      co_await pause.async_wait(asio::use_awaitable);
+      co_await pause(100ms);
     }
   }
   awaitable<void> read_until_closed(Socket socket) {
@@ -198,17 +269,24 @@
     for (asio::error_code error; !error;)
       co_await socket->async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
   }
-  awaitable<void> stand_still(Socket) {
-    asio::steady_timer pause(loop_.io, until_);
-    co_await pause.async_wait(asio::use_awaitable);
+  // Until the other side has closed, which is looked for without reading what it sends.
+  awaitable<void> stand_still(Socket socket) {
+    while (!is_stopped_ && socket->is_open() && !is_reset(*socket)) co_await pause(100ms);
+    close(socket);
+  }
+  static bool is_reset(tcp::socket& socket) {
+    pollfd state{socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP | POLLRDHUP)) != 0;
   }
 
   Loop& loop_;
   const CrowdKind kind_;
   const CrowdTarget target_;
+  const int connections_;
   std::string whole_body_;
-  const steady::time_point until_;
+  std::list<Socket> sockets_;
   int running_ = 0;
+  bool is_stopped_ = false;
 };
 
 }  // namespace robinpin::mesh_test
--- a/tests/mesh/crowd_test.cpp
+++ b/tests/mesh/crowd_test.cpp
@@ -1,6 +1,7 @@
 // Clients that stay inside no limit, at each port of real processes whose settings name low limits. Whatever
-// they do: the process lives, its memory stays within `memory_mb` and its descriptors within `file_limit`,
-// and an ordinary caller is answered afterwards. No time and no share of served requests is judged.
+// they do: the process lives, its memory stays within `memory_mb`, with what the kernel holds for it in both
+// directions, and its descriptors within `file_limit`, and an ordinary caller is answered while they stay and
+// afterwards. No time and no share of served requests is judged.
 #include "crowd.h"
 #include "help.h"
 #include "mesh_processes.h"
@@ -16,8 +17,17 @@
 
 namespace {
 
-constexpr int memory_mb = 64;
-constexpr int file_limit = 700;
+// How large a crowd is, and the limits of the processes that it meets.
+struct Size {
+  int connections = Crowd::usual_connections;
+  int memory_mb = 64;
+  int file_limit = 700;
+};
+
+// How long a crowd stays: ordinary callers ask from a while after its start on, and it stays until one has
+// been answered, but not longer than that.
+constexpr std::chrono::milliseconds least_stay = 3s, ordinary_callers_begin_after = 1500ms,
+                                    longest_stay = 20s;
 constexpr std::size_t megabyte = 1024 * 1024;
 constexpr int many_routes = 3'000;  // a configuration whose text is long
 constexpr auto limit = 30s;         // for what has to come, on a slow machine too
@@ -27,9 +37,9 @@
 // A core, a sidecar with an application server that answers, and a sidecar of callers.
 class Play {
  public:
-  Play() : core_(loop_, 74) {
-    core_.memory_mb = memory_mb;
-    core_.file_limit = file_limit;
+  explicit Play(Size size = {}) : size_(size), core_(loop_, 74) {
+    core_.memory_mb = size_.memory_mb;
+    core_.file_limit = size_.file_limit;
   }
   ~Play() {
     for (auto* sidecar : {callers_.get(), servers_.get()})
@@ -45,8 +55,7 @@
  private:
   struct ObservedProcess {
     std::string name;
-    pid_t pid = 0;
-    std::string ip;
+    ProcessAddresses addresses;
     ResourceUsage most;
   };
 
@@ -67,12 +76,10 @@
     const std::size_t few = 1'000;
     const std::size_t item_bytes = configuration::read_call(first_call("00000001", few)).bytes() / few;
     const std::size_t many = control_plane::max_change_bytes / item_bytes;
-    std::vector<ObservedProcess> processes = observed_processes();
+    std::vector<ObservedProcess> processes = observed_processes(Port::core_control);
     co_await expect_adjusted(first_call("0000000a", int(many)));
-    for (ObservedProcess& process : processes) {
-      observe(process);
-      expect_within_limits(process);
-    }
+    observe(processes);
+    for (const ObservedProcess& process : processes) expect_within_limits(process);
     co_await expect_ordinary_callers_are_answered();
   }
 
@@ -83,13 +90,30 @@
   awaitable<void> whole(Port port, CrowdKind kind) {
     co_await begin(port == Port::core_control ? many_routes : 3);
     if (!faults_.empty()) co_return;
-    Crowd crowd(loop_, kind, target_at(port));
+    const int connections = kind == CrowdKind::idle_connections ? Crowd::idle_connections : size_.connections;
+    Crowd crowd(loop_, kind, target_at(port), connections);
     crowd.start();
-    std::vector<ObservedProcess> processes = observed_processes();
-    while (!crowd.is_over()) {
-      for (ObservedProcess& process : processes) observe(process);
+    std::vector<ObservedProcess> processes = observed_processes(port);
+    const auto begin = steady::now();
+    int asked = 0, answered = 0;
+    bool asks = true, is_asking = false;
+    while (steady::now() < begin + least_stay || (answered == 0 && steady::now() < begin + longest_stay)) {
+      observe(processes);
+      if (!is_asking && steady::now() >= begin + ordinary_callers_begin_after) {
+        is_asking = true;
+        asio::co_spawn(loop_.io, ask_while(port, asks, asked, answered),
+                       [&is_asking](std::exception_ptr) { is_asking = false; });
+      }
+      co_await core_.span(20ms);
+    }
+    asks = false;
+    crowd.stop();
+    while (!crowd.is_over() || is_asking) {
+      observe(processes);
       co_await core_.span(20ms);
     }
+    fmt::print("ordinary requests beside the crowd: {} of {} answered 200\n", answered, asked);
+    expect(answered > 0, fmt::format("none of {} ordinary requests was answered beside the crowd", asked));
     for (const ObservedProcess& process : processes) expect_within_limits(process);
     co_await expect_ordinary_callers_are_answered();
     expect(core_.running(1), "the core has ended");
@@ -97,13 +121,32 @@
     expect(servers_->process().running(), "the server's sidecar has ended");
   }
 
+  // Ordinary requests to what the crowd is at, one after another.
+  awaitable<void> ask_while(Port port, const bool& asks, int& asked, int& answered) {
+    while (asks) {
+      ++asked;
+      const int status = co_await ask(port);
+      if (status == 200) ++answered;
+      co_await core_.span(100ms);
+    }
+  }
+  awaitable<int> ask(Port port) {
+    tcp::endpoint to = callers_->outbound();  // by which other nodes call at `inbound`, too
+    std::string path = "/p0/x";
+    if (port == Port::sidecar_control) to = callers_->control(), path = "/v1/status";
+    if (port == Port::readiness) to = callers_->readiness(), path = "/v1/readiness";
+    if (port == Port::core_control) to = core_endpoint(), path = "/v1/Configuration.Read";
+    const int status = co_await client_.request(to, "GET", path);
+    co_return status;
+  }
+
   awaitable<void> begin(int routes) {
     core_.begin(1);
     servers_ = std::make_unique<Sidecar>(loop_, core_, 20, "one", arrived_);
     callers_ = std::make_unique<Sidecar>(loop_, core_, 21, "callers", arrived_);
     for (Sidecar* sidecar : {servers_.get(), callers_.get()}) {
-      sidecar->memory_mb = memory_mb;
-      sidecar->file_limit = file_limit;
+      sidecar->memory_mb = size_.memory_mb;
+      sidecar->file_limit = size_.file_limit;
       sidecar->start();
     }
     co_await expect_adjusted(first_call("00000007", routes));
@@ -111,23 +154,41 @@
     co_await expect_ordinary_callers_are_answered();
   }
 
-  std::vector<ObservedProcess> observed_processes() {
-    return {{"core", core_.pid(1), core_.ip(1), {}},
-            {"callers' sidecar", callers_->process().pid(), callers_->ip(), {}},
-            {"server's sidecar", servers_->process().pid(), servers_->ip(), {}}};
+  std::vector<ObservedProcess> observed_processes(Port crowd_at) {
+    std::vector<KernelEndpoint> only_callers_connect_to;
+    if (crowd_at != Port::inbound)
+      only_callers_connect_to.push_back(kernel_endpoint_of(text_of(servers_->inbound())));
+    return {{"core", {core_.pid(1), core_.ip(1), {}, {}}, {}},
+            {"callers' sidecar", addresses_of(*callers_, only_callers_connect_to), {}},
+            {"server's sidecar", addresses_of(*servers_, {}), {}}};
+  }
+  static ProcessAddresses addresses_of(Sidecar& sidecar, std::vector<KernelEndpoint> connects_to) {
+    const KernelEndpoint server = kernel_endpoint_of(sidecar.server().address());
+    connects_to.push_back(server);
+    return {sidecar.process().pid(), sidecar.ip(), std::move(connects_to), {server}};
   }
-  static void observe(ObservedProcess& process) {
-    const ResourceUsage now = usage_of(process.pid, process.ip);
-    process.most.memory = std::max(process.most.memory, now.memory);
-    process.most.descriptors = std::max(process.most.descriptors, now.descriptors);
+  static std::string text_of(const tcp::endpoint& endpoint) {
+    return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+  }
+  static void observe(std::vector<ObservedProcess>& processes) {
+    const std::vector<KernelSocket> sockets = kernel_sockets();
+    for (ObservedProcess& process : processes) {
+      const ResourceUsage now = usage_of(process.addresses, sockets);
+      process.most.memory = std::max(process.most.memory, now.memory);
+      process.most.unsent = std::max(process.most.unsent, now.unsent);
+      process.most.descriptors = std::max(process.most.descriptors, now.descriptors);
+    }
   }
   void expect_within_limits(const ObservedProcess& process) {
     const std::size_t memory = process.most.memory / megabyte, descriptors = process.most.descriptors;
-    fmt::print("{}: at most {} MB, {} descriptors\n", process.name, memory, descriptors);
+    fmt::print("{}: at most {} MB ({} MB unsent), {} descriptors\n", process.name, memory,
+               process.most.unsent / megabyte, descriptors);
+    const int memory_mb = size_.memory_mb, file_limit = size_.file_limit;
 #ifndef ROBINPIN_SANITIZED  // the sanitizers' own memory is a multiple of the program's
-    expect(memory <= memory_mb, fmt::format("{}: memory was {} MB of {}", process.name, memory, memory_mb));
+    expect(memory <= std::size_t(memory_mb),
+           fmt::format("{}: memory was {} MB of {}", process.name, memory, memory_mb));
 #endif
-    expect(descriptors <= file_limit,
+    expect(descriptors <= std::size_t(file_limit),
            fmt::format("{}: descriptors were {} of {}", process.name, descriptors, file_limit));
   }
 
@@ -137,24 +198,27 @@
         "20000\r\nX-Mesh-Aim-Ms: 20000\r\n",
         servers_->ip());
     const std::string client_headers = "Host: a.example\r\nX-Attempt-Id: crowd\r\nX-Remaining-Ms: 20000\r\n";
+    const auto get = [](std::string_view path, const std::string& headers) {
+      return fmt::format("GET {} HTTP/1.1\r\n{}\r\n", path, headers);
+    };
     const std::string json = "Host: c\r\nContent-Type: application/json\r\n";
     switch (port) {
       case Port::outbound:
-        return {callers_->outbound(), "GET /p0/large HTTP/1.1\r\n" + client_headers + "\r\n",
+        return {callers_->outbound(), get("/p0/large", client_headers), get("/p0/medium", client_headers),
                 "POST /p0/x HTTP/1.1\r\n" + client_headers, 4 * megabyte};
       case Port::inbound:
-        return {servers_->inbound(), "GET /p0/large HTTP/1.1\r\n" + mesh_headers + "\r\n",
+        return {servers_->inbound(), get("/p0/large", mesh_headers), get("/p0/medium", mesh_headers),
                 "POST /p0/x HTTP/1.1\r\n" + mesh_headers, 4 * megabyte};
       case Port::sidecar_control:
-        return {callers_->control(), "GET /v1/status HTTP/1.1\r\n" + json + "\r\n",
+        return {callers_->control(), get("/v1/status", json), get("/v1/status", json),
                 "POST /v1/Servers.Heartbeat/i-crowd HTTP/1.1\r\n" + json, 64'000};
       case Port::readiness:
-        return {callers_->readiness(), "GET /v1/readiness HTTP/1.1\r\n" + json + "\r\n",
+        return {callers_->readiness(), get("/v1/readiness", json), get("/v1/readiness", json),
                 "POST /v1/readiness HTTP/1.1\r\n" + json, 64'000};
       case Port::core_control:
         break;
     }
-    return {core_endpoint(), "GET /v1/Configuration.Read HTTP/1.1\r\n" + json + "\r\n",
+    return {core_endpoint(), get("/v1/Configuration.Read", json), get("/v1/Configuration.Read", json),
             "POST /v1/Configuration.Adjust HTTP/1.1\r\n" + json, 16'000'000};
   }
   tcp::endpoint core_endpoint() const {
@@ -177,6 +241,7 @@
     expect(status == 200, fmt::format("{} {} is answered {} in the end", method, path, status));
   }
 
+  const Size size_;
   Loop loop_;
   TestClient client_{loop_};
   Core core_;
@@ -185,7 +250,9 @@
   std::string faults_;
 };
 
-void expect_held(Port port, CrowdKind kind) { STRCMP_EQUAL("", Play().run(port, kind).c_str()); }
+void expect_held(Port port, CrowdKind kind, Size size = {}) {
+  STRCMP_EQUAL("", Play(size).run(port, kind).c_str());
+}
 
 }  // namespace
 
@@ -194,9 +261,14 @@
 // Guards against limits on what peers hold that refuse a call inside the limits.
 TEST(Crowd, the_longest_change_is_taken_in_calm) { STRCMP_EQUAL("", Play().run_in_calm().c_str()); }
 
-// Each guards against a process that clients outside the limits make outgrow its memory or its descriptors.
+// Each guards against a process that clients outside the limits make outgrow its memory or its descriptors,
+// or that answers nobody else while they are there.
 #define CROWD_AT(port, kind) \
   TEST(Crowd, port##_##kind) { expect_held(Port::port, CrowdKind::kind); }
+#define SIZED_CROWD_AT(port, kind, connections, memory_mb, file_limit)                  \
+  TEST(Crowd, port##_##kind##_##connections##_##memory_mb) {                            \
+    expect_held(Port::port, CrowdKind::kind, Size{connections, memory_mb, file_limit}); \
+  }
 
 CROWD_AT(outbound, idle_connections)
 CROWD_AT(outbound, endless_header_value)
@@ -209,6 +281,9 @@
 CROWD_AT(outbound, chunks_short_of_an_end)
 CROWD_AT(outbound, one_byte_chunks)
 CROWD_AT(outbound, whole_bodies)
+CROWD_AT(outbound, unread_answers)
+CROWD_AT(outbound, bodies_that_trickle)
+CROWD_AT(outbound, mixed)
 CROWD_AT(inbound, idle_connections)
 CROWD_AT(inbound, endless_header_value)
 CROWD_AT(inbound, endless_header_lines)
@@ -220,6 +295,9 @@
 CROWD_AT(inbound, chunks_short_of_an_end)
 CROWD_AT(inbound, one_byte_chunks)
 CROWD_AT(inbound, whole_bodies)
+CROWD_AT(inbound, unread_answers)
+CROWD_AT(inbound, bodies_that_trickle)
+CROWD_AT(inbound, mixed)
 CROWD_AT(sidecar_control, idle_connections)
 CROWD_AT(sidecar_control, endless_header_value)
 CROWD_AT(sidecar_control, endless_header_lines)
@@ -232,11 +310,14 @@
 CROWD_AT(sidecar_control, whole_bodies)
 CROWD_AT(sidecar_control, bodies_of_many_values)
 CROWD_AT(sidecar_control, bodies_nested_deeply)
+CROWD_AT(sidecar_control, bodies_that_trickle)
+CROWD_AT(sidecar_control, mixed)
 CROWD_AT(readiness, idle_connections)
 CROWD_AT(readiness, endless_header_value)
 CROWD_AT(readiness, endless_header_lines)
 CROWD_AT(readiness, empty_lines)
 CROWD_AT(readiness, pipelined_unread)
+CROWD_AT(readiness, mixed)
 CROWD_AT(core_control, idle_connections)
 CROWD_AT(core_control, endless_header_value)
 CROWD_AT(core_control, endless_header_lines)
@@ -251,3 +332,12 @@
 CROWD_AT(core_control, bodies_of_many_values)
 CROWD_AT(core_control, bodies_nested_deeply)
 CROWD_AT(core_control, bodies_of_long_names)
+CROWD_AT(core_control, bodies_that_trickle)
+CROWD_AT(core_control, mixed)
+// The second as the operators' machines have it.
+SIZED_CROWD_AT(outbound, pipelined_unread, 500, 64, 1400)
+SIZED_CROWD_AT(outbound, pipelined_unread, 2000, 220, 4100)
+SIZED_CROWD_AT(outbound, pipelined_unread, 500, 96, 700)
+SIZED_CROWD_AT(inbound, pipelined_unread, 500, 64, 1400)
+SIZED_CROWD_AT(outbound, mixed, 500, 64, 1400)
+SIZED_CROWD_AT(outbound, mixed, 2000, 220, 4100)
--- a/tests/mesh/faulty_server_test.cpp
+++ b/tests/mesh/faulty_server_test.cpp
@@ -134,9 +134,11 @@
   }
 
   void observe() {
+    const std::vector<KernelSocket> sockets = kernel_sockets();
     for (Sidecar* sidecar : sidecars()) {
-      ResourceUsage now = usage_of(sidecar->process().pid(), sidecar->ip());
-      now.memory += unread_bytes(Side::remote, kernel_endpoint_of(sidecar->server().address()));
+      const KernelEndpoint server = kernel_endpoint_of(sidecar->server().address());
+      const ResourceUsage now =
+          usage_of({sidecar->process().pid(), sidecar->ip(), {server}, {server}}, sockets);
       ResourceUsage& most = most_[sidecar];
       most.memory = std::max(most.memory, now.memory);
       most.descriptors = std::max(most.descriptors, now.descriptors);
--- a/tests/mesh/mesh_processes.h
+++ b/tests/mesh/mesh_processes.h
@@ -17,8 +17,8 @@
 enum class Heartbeats { automatic, by_the_test };
 
 // An application server: answers each request with its service's name, slowly and at length where the path
-// ends in "/long", at once with 8 MiB where it ends in "/large", and sends heartbeats to the sidecar beside
-// it.
+// ends in "/long", at once with 8 MiB where it ends in "/large" and with 300 KB where it ends in "/medium",
+// and sends heartbeats to the sidecar beside it.
 class ApplicationServer {
  public:
   ApplicationServer(Loop& loop, std::string service, std::string address, std::string control,
@@ -45,6 +45,7 @@
   static constexpr int long_pieces = 20;
   static constexpr std::size_t piece_size = 16'000;
   static constexpr std::size_t large_size = 8 * 1024 * 1024;
+  static constexpr std::size_t medium_size = 300'000;
 
   awaitable<void> pause(steady::duration time) {
     asio::steady_timer timer(loop_.io, time);
@@ -79,9 +80,11 @@
       const std::string id(c->in.header("X-Attempt-Id"));
       if (!id.empty()) arrived_.insert(id);
       const bool lasts = c->in.target().ends_with("/long");
-      static const std::string large(large_size, 'x');
+      static const std::string large(large_size, 'x'), medium(medium_size, 'x');
       const std::string short_piece(lasts ? piece_size : 100, 'x');
-      const std::string& piece = c->in.target().ends_with("/large") ? large : short_piece;
+      const std::string& piece = c->in.target().ends_with("/large")    ? large
+                                 : c->in.target().ends_with("/medium") ? medium
+                                                                       : short_piece;
       const std::string headers = fmt::format(
           "HTTP/1.1 200 OK\r\nX-Answering-Instance: i-{0}\r\nX-Attempt-Id: {1}\r\nX-Server-Seal: "
           "{2}.{3}\r\n",
@@ -125,6 +128,7 @@
     rehearse::Daemon::Start how;
     how.command = {ROBINPIN_BINARY, "sidecar", "--settings", file_};
     how.log = log_;
+    how.sockets = file_limit;
     daemon_.start(how);
   }
   // A changed file: other seeds first, another figure.
--- a/tests/mesh/processes.h
+++ b/tests/mesh/processes.h
@@ -116,6 +116,7 @@
     rehearse::Daemon::Start how;
     how.command = {ROBINPIN_BINARY, control_plane_command, "--settings", file};
     how.log = fmt::format("{}/control-plane-{}.log", folder_.string(), n);
+    how.sockets = file_limit;
     daemons_[n]->start(how);
   }
   void start(int n) { start(n, seeds_); }
--- a/tests/mesh/resource_usage.h
+++ b/tests/mesh/resource_usage.h
@@ -4,17 +4,24 @@
 #include <sys/types.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstddef>
+#include <cstdint>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
+#include <set>
 #include <string>
 #include <system_error>
+#include <vector>
 
 namespace robinpin::mesh_test {
 
 struct ResourceUsage {
-  std::size_t memory = 0;  // bytes: resident, and arrived at its sockets but not read yet
+  // Bytes: resident, arrived at its sockets and not read yet, and written to them and not acknowledged by the
+  // peer yet; also at sockets that it has closed, and at those that it has not accepted yet.
+  std::size_t memory = 0;
+  std::size_t unsent = 0;  // bytes of these that are written and not acknowledged
   std::size_t descriptors = 0;
 };
 
@@ -25,40 +32,67 @@
   return resident * std::size_t(::sysconf(_SC_PAGESIZE));
 }
 
-// Bytes that have arrived unread at the TCP sockets whose own, or whose peer's, IPv4 address (and port)
-// begins so, as /proc/net/tcp has it.
-enum class Side { local, remote };
-inline std::size_t unread_bytes(Side side, const std::string& kernel_address) {
-  std::ifstream in("/proc/net/tcp");
-  std::size_t bytes = 0;
-  std::string line;
-  std::getline(in, line);
-  constexpr const char* listening = "0A";
-  while (std::getline(in, line)) {
-    std::istringstream fields(line);
-    std::string number, local, remote, state, queues;
-    fields >> number >> local >> remote >> state >> queues;
-    if (state == listening || !(side == Side::local ? local : remote).starts_with(kernel_address)) continue;
-    bytes += std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16);
-  }
-  return bytes;
-}
+// An IPv4 address and port as /proc/net/tcp has them.
+struct KernelEndpoint {
+  std::uint32_t address = 0;
+  unsigned port = 0;
+  bool operator==(const KernelEndpoint&) const = default;
+};
 
-// "127.1.2.3" as /proc/net/tcp writes it.
-inline std::string kernel_address_of(const std::string& ip) {
+// "127.1.2.3".
+inline std::uint32_t kernel_address_of(const std::string& ip) {
   unsigned a = 0, b = 0, c = 0, d = 0;
   std::sscanf(ip.c_str(), "%u.%u.%u.%u", &a, &b, &c, &d);
-  char text[9];
-  std::snprintf(text, sizeof text, "%02X%02X%02X%02X", d, c, b, a);
-  return text;
+  return d << 24 | c << 16 | b << 8 | a;
 }
 
-// "127.1.2.3:8080" likewise.
-inline std::string kernel_endpoint_of(const std::string& endpoint) {
+// "127.1.2.3:8080".
+inline KernelEndpoint kernel_endpoint_of(const std::string& endpoint) {
   const auto colon = endpoint.find(':');
-  char port[5];
-  std::snprintf(port, sizeof port, "%04X", unsigned(std::stoul(endpoint.substr(colon + 1))));
-  return kernel_address_of(endpoint.substr(0, colon)) + ":" + port;
+  return {kernel_address_of(endpoint.substr(0, colon)), unsigned(std::stoul(endpoint.substr(colon + 1)))};
+}
+
+// A TCP socket that does not listen.
+struct KernelSocket {
+  KernelEndpoint local, remote;
+  std::size_t unsent = 0, unread = 0;  // bytes
+  std::uint64_t inode = 0;             // 0: no process has it open
+};
+
+// The IPv4 sockets of the system's table, all at one time.
+inline std::vector<KernelSocket> kernel_sockets() {
+  std::ifstream in("/proc/net/tcp");
+  std::vector<KernelSocket> sockets;
+  constexpr unsigned listening = 10;
+  constexpr int fields = 8;
+  for (std::string line; std::getline(in, line);) {
+    KernelSocket socket;
+    unsigned state = 0;
+    unsigned long unsent = 0, unread = 0, inode = 0;
+    const int read = std::sscanf(line.c_str(), " %*d: %x:%x %x:%x %x %lx:%lx %*x:%*x %*x %*u %*u %lu",
+                                 &socket.local.address, &socket.local.port, &socket.remote.address,
+                                 &socket.remote.port, &state, &unsent, &unread, &inode);
+    if (read != fields || state == listening) continue;
+    socket.unsent = unsent;
+    socket.unread = unread;
+    socket.inode = inode;
+    sockets.push_back(socket);
+  }
+  return sockets;
+}
+
+// Of the sockets that a process has open.
+inline std::set<std::uint64_t> socket_inodes_of(pid_t pid) {
+  std::set<std::uint64_t> inodes;
+  std::error_code gone;
+  const std::filesystem::directory_iterator first("/proc/" + std::to_string(pid) + "/fd", gone), last;
+  for (auto it = first; !gone && it != last; it.increment(gone)) {
+    std::error_code closed;
+    const std::string target = std::filesystem::read_symlink(it->path(), closed).string();
+    unsigned long inode = 0;
+    if (!closed && std::sscanf(target.c_str(), "socket:[%lu]", &inode) == 1) inodes.insert(inode);
+  }
+  return inodes;
 }
 
 inline std::size_t descriptors_of(pid_t pid) {
@@ -69,8 +103,33 @@
   return count;
 }
 
-inline ResourceUsage usage_of(pid_t pid, const std::string& ip) {
-  return {resident_bytes(pid) + unread_bytes(Side::local, kernel_address_of(ip)), descriptors_of(pid)};
+// A process whose use is looked at.
+struct ProcessAddresses {
+  pid_t pid = 0;
+  std::string ip;                                // where it listens
+  std::vector<KernelEndpoint> connects_to = {};  // no other process does so
+  std::vector<KernelEndpoint> of_others = {};    // at its address, where other processes listen
+};
+
+inline bool contains(const std::vector<KernelEndpoint>& endpoints, const KernelEndpoint& endpoint) {
+  return std::find(endpoints.begin(), endpoints.end(), endpoint) != endpoints.end();
+}
+
+inline ResourceUsage usage_of(const ProcessAddresses& process, const std::vector<KernelSocket>& sockets) {
+  ResourceUsage usage;
+  usage.memory = resident_bytes(process.pid);
+  usage.descriptors = descriptors_of(process.pid);
+  const std::set<std::uint64_t> open = socket_inodes_of(process.pid);
+  const std::uint32_t address = kernel_address_of(process.ip);
+  for (const KernelSocket& socket : sockets) {
+    const bool is_open = socket.inode != 0 && open.contains(socket.inode);
+    const bool is_accepted = socket.local.address == address && !contains(process.of_others, socket.local);
+    const bool is_closed = socket.inode == 0 && (is_accepted || contains(process.connects_to, socket.remote));
+    if (!is_open && !is_closed) continue;
+    usage.memory += socket.unread + socket.unsent;
+    usage.unsent += socket.unsent;
+  }
+  return usage;
 }
 
 }  // namespace robinpin::mesh_test
