What the kernel holds of a connection is bounded in both directions, and reset

What callers saw: beside a crowd a process held 100 to 360 MB of 64, and nobody else was answered.

Cause: no connection of the mesh bounded what is written and not taken: the kernel's send buffer grows to megabytes a connection, for clients, for bodies on their way and at the small ports, and what is closed over unsent bytes stays there for minutes. Receive buffers of 64 KiB a connection were counted as if each held that, so 400 requests at work took the whole account. And with all descriptors in use each try for one walked over all connections.

Change: buffers are narrow in both directions (16 KiB to receive, 8 KiB to send), so the number of connections bounds their sum, and connections are as many as a third of memory_mb allows; they are widened for a long message if memory is free for it, and nobody is closed or refused for that. What is written goes out in records no longer than the rest of the buffer. A closed connection's bytes are waited for while the peer takes them, 2 s without progress and 10 s in all, then reset. Unfinished requests and long answers together leave a quarter of the account. Who makes no progress for a second gives way, in the account, at its server's share and for descriptors; accepted connections leave a quarter of them for servers; a search that found nothing is not repeated for 10 ms. Unsent bytes show in E121, E122 and status.

--- a/src/app/control_plane_process.cpp
+++ b/src/app/control_plane_process.cpp
@@ -41,7 +41,8 @@
  public:
   ControlPlaneProcess(bootstrap::Settings initial_settings, std::string settings_path, ReplicaStore replica)
       : MeshProcess(std::move(initial_settings), std::move(settings_path), bootstrap::MachineKind::core),
-        sockets_(std::max(least_descriptors, settings.file_limit - reserved_descriptors), memory_budget_),
+        sockets_(most_connections(std::max(least_descriptors, settings.file_limit - reserved_descriptors)),
+                 memory_budget_),
         replica_(std::move(replica)),
         replicated_state_(transport::parse_address(settings.ip), configuration_, gossip_, *replica_.store,
                           draw_random_seed_64(settings), {settings.contact_timeout}),
@@ -195,6 +196,7 @@
     replicated_state_.tick(now(), out);
     gossip_.tick(now(), out);
     send(out);
+    sockets_.sweep();
     follow_replicated_state();
   }
 
--- a/src/app/mesh_process.cpp
+++ b/src/app/mesh_process.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <malloc.h>
 
+#include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -184,6 +185,12 @@
     event_log_.append(notice->type, at, notice->text);
 }
 
+int MeshProcess::most_connections(int descriptors) const {
+  constexpr std::size_t part_for_kernel_buffers = 3;  // of this process's memory, as a divisor
+  const std::size_t bytes = std::size_t(settings.memory_mb) * bytes_per_megabyte / part_for_kernel_buffers;
+  return std::min(descriptors, int(bytes / node::SocketBuffers::narrow_total));
+}
+
 ResourceUsage MeshProcess::memory_usage() const {
   ResourceUsage usage;
   usage.resident_bytes = resident_bytes();
@@ -193,6 +200,7 @@
 
 void MeshProcess::add_connections(const node::Sockets& sockets, ResourceUsage& usage) {
   usage.unread_bytes += sockets.unread_bytes();
+  usage.unsent_bytes += sockets.unsent_bytes();
   usage.connections += sockets.open();
   usage.connection_limit += sockets.most();
   usage.connections_refused += sockets.refused();
--- a/src/app/mesh_process.h
+++ b/src/app/mesh_process.h
@@ -56,6 +56,9 @@
   // or later where changes come so often that applying them would take too much processor time.
   void apply_state_changes();
   ResourceUsage memory_usage() const;  // without its connections
+  // How many connections may be open with so many descriptors: the kernel's buffers of all of them have to
+  // fit in this process's memory.
+  int most_connections(int descriptors) const;
   // Adds what the connections of one port or of several take.
   static void add_connections(const node::Sockets& sockets, ResourceUsage& usage);
   // Ends the process without destructors: suspended coroutines refer to parts that would be destroyed first.
--- a/src/app/resource_watch.cpp
+++ b/src/app/resource_watch.cpp
@@ -16,9 +16,9 @@
 constexpr std::size_t high_memory_numerator = 3, high_memory_denominator = 4;
 
 std::string described(const ResourceUsage& usage) {
-  return fmt::format("resident={} unread={} limit={} connections={} connection_limit={} refused={}",
-                     usage.resident_bytes, usage.unread_bytes, usage.memory_limit_bytes, usage.connections,
-                     usage.connection_limit, usage.connections_refused);
+  return fmt::format("resident={} unread={} unsent={} limit={} connections={} connection_limit={} refused={}",
+                     usage.resident_bytes, usage.unread_bytes, usage.unsent_bytes, usage.memory_limit_bytes,
+                     usage.connections, usage.connection_limit, usage.connections_refused);
 }
 
 }  // namespace
@@ -37,7 +37,7 @@
 
 std::optional<ResourceWatch::Notice> ResourceWatch::memory_notice(std::int64_t now,
                                                                   const ResourceUsage& usage) {
-  const std::size_t used = usage.resident_bytes + usage.unread_bytes;
+  const std::size_t used = usage.resident_bytes + usage.unread_bytes + usage.unsent_bytes;
   const bool is_high = used >= usage.memory_limit_bytes / high_memory_denominator * high_memory_numerator;
   if (!is_high || now < next_memory_notice_) return std::nullopt;
   next_memory_notice_ = now + notice_interval;
--- a/src/app/resource_watch.h
+++ b/src/app/resource_watch.h
@@ -14,6 +14,7 @@
   std::size_t resident_bytes = 0;
   std::size_t memory_limit_bytes = 0;
   std::size_t unread_bytes = 0;  // have arrived at this process's connections
+  std::size_t unsent_bytes = 0;  // were written to them, and their peers have not acknowledged them
   int connections = 0;
   int connection_limit = 0;
   std::uint64_t connections_refused = 0;  // for want of descriptors, since the start
--- a/src/app/sidecar_process.cpp
+++ b/src/app/sidecar_process.cpp
@@ -36,9 +36,9 @@
  public:
   SidecarProcess(bootstrap::Settings initial_settings, std::string settings_path)
       : MeshProcess(std::move(initial_settings), std::move(settings_path), bootstrap::MachineKind::server),
-        sockets_(
-            std::max(least_descriptors, settings.file_limit - reserved_descriptors - control_descriptors),
-            memory_budget_),
+        sockets_(most_connections(std::max(least_descriptors,
+                                           settings.file_limit - reserved_descriptors - control_descriptors)),
+                 memory_budget_),
         control_sockets_(control_descriptors, memory_budget_),
         control_server_(io_, control_sockets_, control_call_limits),
         readiness_server_(io_, control_sockets_, control_call_limits),
@@ -82,8 +82,10 @@
   void listen() {
     control_server_.listen(node::endpoint_of(settings.ports.at("control")));
     readiness_server_.listen(node::endpoint_of(settings.ports.at("readiness")));
-    node::listen_at(outbound_acceptor_, node::endpoint_of(settings.ports.at("outbound")), accept_backlog);
-    node::listen_at(inbound_acceptor_, node::endpoint_of(settings.ports.at("inbound")), accept_backlog);
+    node::listen_at(outbound_acceptor_, node::endpoint_of(settings.ports.at("outbound")), accept_backlog,
+                    node::Buffering::bounded);
+    node::listen_at(inbound_acceptor_, node::endpoint_of(settings.ports.at("inbound")), accept_backlog,
+                    node::Buffering::bounded);
   }
 
   void serve() {
@@ -250,6 +252,8 @@
     retirements_.tick(now(), gossip_.cores(), out);
     send(out);
     check_server_heartbeat();
+    sockets_.sweep();
+    control_sockets_.sweep();
     apply_state_changes();
     update_readiness();
     if (++sweep_ticks_ % ticks_between_sweeps == 0) sweep();
--- a/src/app/status_json.cpp
+++ b/src/app/status_json.cpp
@@ -62,6 +62,7 @@
   json.StartObject();
   put_count(json, "resident", usage.resident_bytes);
   put_count(json, "unread", usage.unread_bytes);
+  put_count(json, "unsent", usage.unsent_bytes);
   put_count(json, "memory_limit", usage.memory_limit_bytes);
   put_count(json, "connections", std::uint64_t(usage.connections));
   put_count(json, "connection_limit", std::uint64_t(usage.connection_limit));
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,6 +1,5 @@
 #include "connection.h"
 
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -27,18 +26,57 @@
   for (const auto& evict : evictors_)
     while (full() && evict()) {
     }
-  while (full() && close_resting()) {
+  if (full()) sweep();
+  while (full() && (registry_->draining.reset_oldest() || close_accepted())) {
   }
   if (full()) ++refused_;
   return !full();
 }
 
+bool Sockets::ensure_capacity_to_accept() {
+  constexpr int spared_part = 4;
+  const auto& accepted = registry_->accepted;
+  const std::size_t most_accepted = std::size_t(std::max(1, most_ - most_ / spared_part));
+  while (accepted.size() >= most_accepted && close_accepted()) {
+  }
+  if (accepted.size() < most_accepted) return ensure_capacity();
+  ++refused_;
+  return false;
+}
+
+bool Sockets::close_accepted() {
+  constexpr std::chrono::milliseconds pause_between_searches{10};
+  const auto now = steady::now();
+  if (now < next_search_) return false;
+  if (close_resting() || close_stalled()) return true;
+  next_search_ = now + pause_between_searches;
+  return false;
+}
+
 std::size_t Sockets::unread_bytes() const {
   std::size_t bytes = 0;
   for (const Connection* connection : registry_->connections) bytes += connection->unread_bytes();
   return bytes;
 }
 
+std::size_t Sockets::unsent_bytes() const {
+  std::size_t bytes = 0;
+  for (const Connection* connection : registry_->connections)
+    bytes += node::unsent_bytes(const_cast<Connection*>(connection)->socket.native_handle());
+  return bytes;
+}
+
+bool Sockets::close_stalled() {
+  Connection* longest = nullptr;
+  for (Connection* connection : registry_->accepted) {
+    const auto since = connection->stalled_since();
+    if (since && (!longest || *since < *longest->stalled_since())) longest = connection;
+  }
+  if (!longest) return false;
+  longest->abort();
+  return true;
+}
+
 bool Sockets::close_resting() {
   const auto& accepted = registry_->accepted;
   const auto resting = std::find_if(accepted.begin(), accepted.end(),
@@ -56,6 +94,7 @@
       registry_(sockets.registry_),
       is_peers_request_(kind == HTTP_REQUEST),
       memory_(sockets.shared_memory(), std::move(share)),
+      send_memory_(sockets.shared_memory()),
       consumer_(sockets.memory().add(this)),
       connection_(registry_->connections.insert(registry_->connections.end(), this)),
       timer_(socket.get_executor()) {}
@@ -71,19 +110,52 @@
   accepted_ = registry_->accepted.insert(registry_->accepted.end(), this);
 }
 
+void Connection::bound_sending(UnsentOnClose on_close) {
+  is_sending_bounded_ = true;
+  unsent_on_close_ = on_close;
+  if (!is_accepted_) bound_send_buffer(socket.native_handle(), SocketBuffers::narrow_send);
+}
+
 // Not while a request is at work: its caller has sent it whole.
-std::size_t Connection::evictable_bytes(std::optional<MemoryBudget::Use> use) const {
-  if (!is_peers_request_ || !open() || (phase_ != Phase::reading && phase_ != Phase::writing)) return 0;
-  return memory_.bytes(use) + (answer_memory_ ? answer_memory_->bytes(use) : 0);
+bool Connection::may_be_closed() const {
+  if (!is_peers_request_ || !open()) return false;
+  if (phase_ == Phase::reading || phase_ == Phase::writing) return true;
+  return phase_ == Phase::resting && receives_widely_ && rests();
+}
+
+std::optional<steady::time_point> Connection::stalled_since() const {
+  const bool is_underway = phase_ == Phase::reading || phase_ == Phase::writing;
+  const bool is_stalled = is_underway && steady::now() - phase_since_ >= MemoryBudget::least_age_to_evict;
+  return is_stalled ? std::optional(phase_since_) : std::nullopt;
+}
+
+std::size_t Connection::evictable_bytes(const MemoryBudget::Shortage& shortage) const {
+  if (!may_be_closed()) return 0;
+  std::size_t bytes = memory_.bytes(shortage) + send_memory_.bytes(shortage);
+  if (answer_memory_) bytes += answer_memory_->bytes(shortage);
+  if (streamed_from_) bytes += streamed_from_->memory_.bytes(shortage);
+  return bytes;
 }
 
 // What it holds is freed as whoever uses it goes on.
 void Connection::evict() {
   memory_.release();
+  send_memory_.release();
   if (answer_memory_) answer_memory_->release();
+  if (streamed_from_) {
+    streamed_from_->memory_.release();
+    streamed_from_->abort();
+  }
   abort();
 }
 
+void Connection::reclaim() {
+  if (send_memory_.bytes() == 0 || phase_ == Phase::writing || !open()) return;
+  if (unsent_bytes(socket.native_handle()) > SocketBuffers::narrow_send) return;
+  bound_send_buffer(socket.native_handle(), SocketBuffers::narrow_send);
+  send_memory_.release();
+}
+
 void Connection::enter(Phase phase) {
   if (phase_ == phase) return;
   phase_ = phase;
@@ -91,21 +163,38 @@
 }
 
 MemoryBudget::Use Connection::memory_use(std::size_t footprint) const {
-  constexpr std::size_t long_answer = 64 * 1024;
   if (is_peers_request_) return MemoryBudget::Use::partial_request;
-  return footprint > long_answer ? MemoryBudget::Use::long_answer : MemoryBudget::Use::ordinary;
+  const bool is_long = footprint > MemoryBudget::short_message_bytes;
+  return is_long ? MemoryBudget::Use::long_answer : MemoryBudget::Use::ordinary;
 }
 
 // A server whose answer is short has sent no more than that.
 std::size_t Connection::unread_allowance(std::size_t footprint) const {
-  constexpr std::size_t short_answer = 16 * 1024;
-  if (!in.begun()) return 0;
-  if (is_accepted_) return most_unread_bytes;
-  return !is_peers_request_ && footprint > short_answer ? most_unread_answer_bytes : 0;
+  if (is_accepted_) return receives_widely_ ? SocketBuffers::wide_receive : 0;
+  return in.begun() && !is_peers_request_ && footprint > MemoryBudget::short_message_bytes
+             ? SocketBuffers::answer_receive
+             : 0;
+}
+
+// For a long message. Without memory for it the message comes through a narrow buffer, no less whole.
+void Connection::widen_receiving(std::size_t footprint) {
+  if (!is_accepted_ || receives_widely_ || !in.begun() || in.whole()) return;
+  if (footprint <= SocketBuffers::narrow_receive && !in.longer_than(SocketBuffers::narrow_receive)) return;
+  if (!memory_.resize_if_free(footprint + SocketBuffers::wide_receive, memory_use(footprint))) return;
+  receives_widely_ = true;
+  widen_receive_buffer(socket.native_handle());
+}
+
+void Connection::widen_sending() {
+  constexpr std::size_t bytes = SocketBuffers::wide_send + SocketBuffers::wide_piece;
+  const auto use = is_peers_request_ ? MemoryBudget::Use::long_answer : MemoryBudget::Use::partial_request;
+  if (send_memory_.bytes() > 0 || !send_memory_.resize_if_free(bytes, use)) return;
+  bound_send_buffer(socket.native_handle(), SocketBuffers::wide_send);
 }
 
 bool Connection::reserve_capacity() {
   const std::size_t footprint = in.footprint_with_room();
+  widen_receiving(footprint);
   const std::size_t bytes = footprint + unread_allowance(footprint);
   const MemoryBudget::Use use = memory_use(footprint);
   // The number of connections bounds these: so what a message wants is known, and it can be answered.
@@ -125,15 +214,34 @@
 
 void Connection::close() {
   no_limit();
+  const bool is_unsent =
+      open() && unsent_on_close_ != UnsentOnClose::left_to_kernel && unsent_bytes(socket.native_handle()) > 0;
   asio::error_code ignored;
-  socket.close(ignored);
+  if (is_unsent && unsent_on_close_ == UnsentOnClose::dropped)
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  if (is_unsent && unsent_on_close_ == UnsentOnClose::drained)
+    drain();
+  else
+    socket.close(ignored);
+  memory_.release();
+  send_memory_.release();
+  streamed_from_.reset();
   if (counted_) unregister();
   counted_ = false;
 }
 
+// Whoever waits at this connection is told that it is closed.
+void Connection::drain() {
+  asio::error_code failed;
+  socket.cancel(failed);
+  const int handle = socket.release(failed);
+  if (!failed) registry_->draining.add(handle, steady::now());
+}
+
 void Connection::abort() {
   asio::error_code ignored;
   socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  unsent_on_close_ = UnsentOnClose::left_to_kernel;  // there is none
   close();
 }
 
@@ -153,15 +261,16 @@
   timer_.cancel();
 }
 
-Connection::peeked Connection::peek() {
+Connection::peeked Connection::peek() const {
   if (!open()) return peeked::end;
   char byte = 0;
-  const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const int handle = const_cast<tcp::socket&>(socket).native_handle();
+  const auto n = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   if (n > 0) return peeked::bytes;
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) ? peeked::nothing : peeked::end;
 }
 
-bool Connection::quiet() { return !in.begun() && !in.behind() && peek() == peeked::nothing; }
+bool Connection::quiet() const { return !in.begun() && !in.behind() && peek() == peeked::nothing; }
 bool Connection::still() { return peek() == peeked::nothing; }
 bool Connection::peer_gone() { return peek() == peeked::end; }
 
@@ -176,7 +285,8 @@
   const auto begun = steady::now();
   socket.open(to.protocol(), error);
   if (error) co_return error;
-  bound_unread_bytes(socket);
+  bound_receive_buffer(socket.native_handle(), SocketBuffers::answer_receive);
+  if (is_sending_bounded_) bound_send_buffer(socket.native_handle(), SocketBuffers::narrow_send);
   co_await socket.async_connect(to, asio::redirect_error(asio::use_awaitable, error));
   round_trip_ = steady::now() - begun;
   if (!error) socket.set_option(tcp::no_delay(true), error);
@@ -185,35 +295,72 @@
 
 awaitable<asio::error_code> Connection::write(std::string_view head, std::string_view body,
                                               std::size_t& written) {
-  asio::error_code error;
-  const std::array<asio::const_buffer, 2> parts = {asio::buffer(head.data(), head.size()),
-                                                   asio::buffer(body.data(), body.size())};
   const Phase before = phase_;
   enter(Phase::writing);
-  written = co_await asio::async_write(socket, parts, asio::redirect_error(asio::use_awaitable, error));
+  asio::error_code error;
+  if (is_sending_bounded_) {
+    error = co_await write_in_pieces(head, body, written);
+  } else {
+    const std::array<asio::const_buffer, 2> parts = {asio::buffer(head.data(), head.size()),
+                                                     asio::buffer(body.data(), body.size())};
+    written = co_await asio::async_write(socket, parts, asio::redirect_error(asio::use_awaitable, error));
+  }
   enter(before);
   co_return error;
 }
 
 namespace {
-template <typename Socket>
-void bound_unread_bytes_to(Socket& socket, std::size_t bytes) {
-  // Segments have to be well below the window that this leaves: on loopback they would be longer, and a
-  // sender waits for a timer where none fits in.
-  constexpr std::size_t segments = 8;
-  asio::error_code ignored;
-  // The kernel doubles it, for its own overhead.
-  socket.set_option(asio::socket_base::receive_buffer_size(int(bytes / 2)), ignored);
-  socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>(int(bytes / segments)),
-                    ignored);
+
+// Writes the beginning of what is left of both, `most` bytes of it; how much the kernel took. As a record of
+// its own: to one that it has the kernel would add beyond the bound of its buffer.
+std::size_t send_piece(int socket, std::string_view head, std::string_view body, std::size_t most,
+                       asio::error_code& error) {
+  head = head.substr(0, most);
+  body = body.substr(0, most - head.size());
+  std::array<iovec, 2> parts = {iovec{const_cast<char*>(head.data()), head.size()},
+                                iovec{const_cast<char*>(body.data()), body.size()}};
+  msghdr message{};
+  message.msg_iov = parts.data();
+  message.msg_iovlen = parts.size();
+  const auto taken = ::sendmsg(socket, &message, MSG_DONTWAIT | MSG_NOSIGNAL | MSG_EOR);
+  if (taken >= 0) return std::size_t(taken);
+  error = asio::error_code(errno, asio::error::get_system_category());
+  return 0;
 }
+
+bool is_to_be_tried_again(const asio::error_code& error) {
+  return error == asio::error::would_block || error == asio::error::try_again ||
+         error == asio::error::interrupted;
+}
+
 }  // namespace
 
-void bound_unread_bytes(tcp::acceptor& acceptor) {
-  bound_unread_bytes_to(acceptor, Connection::most_unread_bytes);
+awaitable<asio::error_code> Connection::write_in_pieces(std::string_view head, std::string_view body,
+                                                        std::size_t& written) {
+  const std::size_t total = head.size() + body.size();
+  if (total > SocketBuffers::narrow_send) widen_sending();
+  for (written = 0; written < total;) {
+    if (!open()) co_return asio::error::operation_aborted;
+    const std::size_t piece =
+        send_memory_.bytes() > 0 ? SocketBuffers::wide_piece : SocketBuffers::narrow_piece;
+    const std::string_view rest_of_head = head.substr(std::min(written, head.size()));
+    const std::string_view rest_of_body = body.substr(written > head.size() ? written - head.size() : 0);
+    asio::error_code error;
+    const std::size_t taken = send_piece(socket.native_handle(), rest_of_head, rest_of_body, piece, error);
+    if (taken > 0) phase_since_ = steady::now();
+    written += taken;
+    if (!error) continue;
+    if (!is_to_be_tried_again(error)) co_return error;
+    error = {};
+    co_await socket.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return error;
+  }
+  co_return asio::error_code();
 }
-void bound_unread_bytes(tcp::socket& socket) {
-  bound_unread_bytes_to(socket, Connection::most_unread_answer_bytes);
+
+void bound_buffers(tcp::acceptor& acceptor) {
+  bound_receive_buffer(acceptor.native_handle(), SocketBuffers::narrow_receive);
+  bound_send_buffer(acceptor.native_handle(), SocketBuffers::narrow_send);
 }
 
 void stamp_arrivals(int socket) {
@@ -285,6 +432,7 @@
   const reading behind = in.next();
   message_arrived_ = arrived_;
   answer_memory_.reset();
+  reclaim();
   record_memory();
   enter(!in.begun() ? Phase::resting : in.whole() ? Phase::working : Phase::reading);
   return behind;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -11,7 +11,9 @@
 
 #include "../codec/http.h"
 #include "clock.h"
+#include "draining_sockets.h"
 #include "memory_budget.h"
+#include "socket_buffers.h"
 
 namespace robinpin::node {
 
@@ -39,18 +41,23 @@
 class Sockets {
  public:
   explicit Sockets(int most, std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>())
-      : most_(most), registry_(std::make_shared<Registry>()) {
-    registry_->memory = std::move(memory);
-  }
+      : most_(most), registry_(std::make_shared<Registry>(std::move(memory))) {}
   MemoryBudget& memory() const { return *registry_->memory; }
   const std::shared_ptr<MemoryBudget>& shared_memory() const { return registry_->memory; }
   // True if one more may be opened. Else what is idle has been closed, and it was not enough.
   bool ensure_capacity();
+  // The same for a connection that was accepted. These never take the last quarter: requests that have come
+  // need connections to servers.
+  bool ensure_capacity_to_accept();
   bool full() const { return open() >= most_; }
-  int open() const { return int(registry_->connections.size()); }
-  std::uint64_t refused() const { return refused_; }  // calls of ensure_capacity() that found no room
+  int open() const { return int(registry_->connections.size() + registry_->draining.size()); }
+  std::uint64_t refused() const { return refused_; }  // calls of these that found no room
   // Bytes that have arrived at all connections and are not read yet. Asks the kernel for each of them.
   std::size_t unread_bytes() const;
+  // Bytes that were written to all connections and that their peers have not acknowledged. Likewise.
+  std::size_t unsent_bytes() const;
+  // To be called now and then: closes sockets whose peers have taken what was written to them.
+  void sweep() { registry_->draining.sweep(steady::now()); }
   int most() const { return most_; }
   void most(int n) { most_ = n; }
   Waits waits;
@@ -61,24 +68,32 @@
   friend class Connection;
   // Shared with the connections: suspended coroutines may keep them beyond the end of this.
   struct Registry {
+    explicit Registry(std::shared_ptr<MemoryBudget> budget) : memory(std::move(budget)), draining(memory) {}
     std::list<Connection*> connections;
     std::list<Connection*> accepted;  // those at rest are closed for want of descriptors, the oldest first
-    std::shared_ptr<MemoryBudget> memory;
+    const std::shared_ptr<MemoryBudget> memory;
+    DrainingSockets draining;
   };
+  // Each closes one. False: there is none.
+  bool close_accepted();
   bool close_resting();
+  bool close_stalled();
 
   int most_;
   std::uint64_t refused_ = 0;
+  steady::time_point next_search_{};  // for one to close: none was found a moment before
   const std::shared_ptr<Registry> registry_;
   std::vector<std::function<bool()>> evictors_;
 };
 
 class Connection : public std::enable_shared_from_this<Connection>, private MemoryBudget::Consumer {
  public:
-  // What the kernel may hold of a peer's bytes that are not read yet: of a client's or another node's
-  // requests, and of answers, which come over longer ways.
-  static constexpr std::size_t most_unread_bytes = 64 * 1024;
-  static constexpr std::size_t most_unread_answer_bytes = 128 * 1024;
+  // What becomes of bytes that the peer has not taken as the connection is closed.
+  enum class UnsentOnClose {
+    left_to_kernel,  // which keeps them as long as it sees fit
+    dropped,         // the connection is reset
+    drained,         // they are waited for while the peer takes them, then the connection is reset
+  };
 
   // `share`: of what the answers of the server hold that it connects to, if they are bounded together.
   Connection(tcp::socket socket, Sockets& sockets, http_parser_type kind, Limits limits = {},
@@ -95,21 +110,30 @@
   void no_limit();
   bool ran_out() const { return ran_out_; }
   // Whether the peer has neither sent anything nor closed: only then an idle connection is of use.
-  bool quiet();
+  bool quiet() const;
   bool peer_gone();
-  std::size_t unread_bytes() const;                             // have arrived, as the kernel tells
-  bool still();                                                 // nothing to read, and not closed
-  bool rests() { return phase_ == Phase::resting && quiet(); }  // between requests, or before the first
+  std::size_t unread_bytes() const;                                   // have arrived, as the kernel tells
+  bool still();                                                       // nothing to read, and not closed
+  bool rests() const { return phase_ == Phase::resting && quiet(); }  // between requests, or before the first
+  // Since when it has got no further in the midst of a message, if it may be closed for that.
+  std::optional<steady::time_point> stalled_since() const;
   // As connecting took: the kernel's own measure has the peer's delayed acknowledgements in it.
   steady::duration round_trip() const { return round_trip_; }
 
   awaitable<asio::error_code> connect(tcp::endpoint to);
-  // This connection was accepted from a peer, whose bytes the acceptor bounds: what the kernel may hold
-  // unread counts as memory of it, and it may be closed for want of descriptors while it rests.
+  // This connection was accepted from a peer, and the acceptor has bounded its buffers: where they are
+  // widened they count as memory of it, and it may be closed for want of descriptors while it rests or
+  // stalls.
   void set_accepted();
+  // What is written here waits in a narrow buffer of the kernel, or in a wide one that memory is reserved
+  // for.
+  void bound_sending(UnsentOnClose on_close);
+  // What is written to this connection comes from there, piece by piece: whoever closes this for want of
+  // memory closes both. Null: no more.
+  void set_streamed_from(std::shared_ptr<Connection> source) { streamed_from_ = std::move(source); }
   // Holds this until the present answer is written, or the connection is evicted.
   void hold(std::shared_ptr<MemoryBudget::Reservation> answer) { answer_memory_ = std::move(answer); }
-  // Writes all of it; `written` tells how much went out.
+  // Writes all of it; `written` tells how much went out, to the kernel.
   awaitable<asio::error_code> write(std::string_view head, std::string_view body, std::size_t& written);
   static constexpr std::size_t all = ~std::size_t(0);
   // Reads until a message is whole, or known to be `longer` than what is kept of a body, or the connection
@@ -142,9 +166,11 @@
 
  private:
   enum class Phase { resting, reading, working, writing };
-  std::size_t evictable_bytes(std::optional<MemoryBudget::Use> use) const override;
+  std::size_t evictable_bytes(const MemoryBudget::Shortage& shortage) const override;
   steady::time_point in_use_since() const override { return phase_since_; }
   void evict() override;
+  void reclaim() override;
+  bool may_be_closed() const;
   void unregister();
   void enter(Phase phase);
   bool reserve_capacity();
@@ -152,21 +178,29 @@
   // What `footprint` bytes of a message are held for, and how many the kernel may hold besides.
   MemoryBudget::Use memory_use(std::size_t footprint) const;
   std::size_t unread_allowance(std::size_t footprint) const;
+  void widen_receiving(std::size_t footprint);
+  void widen_sending();
+  awaitable<asio::error_code> write_in_pieces(std::string_view head, std::string_view body,
+                                              std::size_t& written);
+  void drain();
 
   enum class peeked { nothing, bytes, end };
-  peeked peek();
+  peeked peek() const;
   awaitable<std::size_t> receive(char* to, std::size_t size, asio::error_code& error);
   Sockets& sockets_;
   const std::shared_ptr<Sockets::Registry> registry_;
   const bool is_peers_request_;  // requests arrive here; else answers
   MemoryBudget::Reservation memory_;
+  MemoryBudget::Reservation send_memory_;  // of a wide send buffer
   std::shared_ptr<MemoryBudget::Reservation> answer_memory_;
   MemoryBudget::Consumers::iterator consumer_;
   std::list<Connection*>::iterator connection_;
   std::optional<std::list<Connection*>::iterator> accepted_;
   Phase phase_ = Phase::resting;
   steady::time_point phase_since_{};
-  bool is_accepted_ = false;
+  std::shared_ptr<Connection> streamed_from_;
+  UnsentOnClose unsent_on_close_ = UnsentOnClose::left_to_kernel;
+  bool is_accepted_ = false, is_sending_bounded_ = false, receives_widely_ = false;
   asio::steady_timer timer_;
   std::uint64_t round_ = 0;
   bool counted_ = true, ran_out_ = false;
@@ -174,10 +208,8 @@
   steady::duration round_trip_{};
 };
 
-// Bounds what the kernel holds unread of each connection accepted there, or of that connection. To be called
-// before it listens or connects.
-void bound_unread_bytes(tcp::acceptor& acceptor);
-void bound_unread_bytes(tcp::socket& socket);
+// Bounds what the kernel holds of each connection that is accepted there, in both directions.
+void bound_buffers(tcp::acceptor& acceptor);
 
 // Has the kernel stamp what reaches this socket, or those accepted from it.
 void stamp_arrivals(int socket);
--- a/src/net/listening.cpp
+++ b/src/net/listening.cpp
@@ -13,7 +13,7 @@
 constexpr auto bind_limit = 5s;
 }  // namespace
 
-void listen_at(tcp::acceptor& acceptor, tcp::endpoint at, int backlog) {
+void listen_at(tcp::acceptor& acceptor, tcp::endpoint at, int backlog, Buffering buffering) {
   acceptor.open(at.protocol());
   acceptor.set_option(tcp::acceptor::reuse_address(true));
   asio::error_code taken;
@@ -24,6 +24,7 @@
     throw std::runtime_error(
         fmt::format("listen: {}:{}: {}", at.address().to_string(), at.port(), taken.message()));
   stamp_arrivals(acceptor.native_handle());
+  if (buffering == Buffering::bounded) bound_buffers(acceptor);
   acceptor.listen(backlog);
   acceptor.non_blocking(true);
 }
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -22,22 +22,36 @@
 
 class MemoryBudget : public std::enable_shared_from_this<MemoryBudget> {
  public:
-  // What memory is held for. Each use but `ordinary` has a limit of its own below that of the budget, so
-  // that it never takes the last of it; a single reservation may go beyond the limit of its use.
+  // What memory is held for. Each use but `ordinary` has a limit of its own below that of the budget, and so
+  // have these together, so that they never take the last of it; a single reservation may go beyond the limit
+  // of its use.
   enum class Use { ordinary, partial_request, long_answer };
   static constexpr std::size_t uses = 3;
   static constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
-  // Nobody is closed who has held memory for less.
+  // Messages up to that are `ordinary`.
+  static constexpr std::size_t short_message_bytes = 16 * 1024;
+  // Nobody is closed who has held memory without progress for less.
   static constexpr std::chrono::seconds least_age_to_evict{1};
 
+  class Share;
+
+  // What there is not enough of: memory of a use, or of a server's share; all of it where neither is named.
+  struct Shortage {
+    std::optional<Use> use = std::nullopt;
+    const Share* share = nullptr;
+  };
+
   // Someone who holds memory that is freed by closing them.
   class Consumer {
    public:
     virtual ~Consumer() = default;
-    // Bytes of that use (none: of all) that evict() frees; 0: it must not be closed now.
-    virtual std::size_t evictable_bytes(std::optional<Use> use) const = 0;
+    // Bytes of what is short that evict() frees; 0: it must not be closed now.
+    virtual std::size_t evictable_bytes(const Shortage& shortage) const = 0;
+    // Since when it has got no further.
     virtual steady::time_point in_use_since() const = 0;
     virtual void evict() = 0;
+    // Gives back what it no longer needs.
+    virtual void reclaim() {}
   };
   using Consumers = std::list<Consumer*>;
 
@@ -65,11 +79,17 @@
     Reservation& operator=(const Reservation&) = delete;
     // Makes it so many bytes. Returns false, and changes nothing, if the budget has no room for them.
     bool resize(std::size_t bytes, Use use);
+    // The same, but only if nobody has to be closed for it; it is no refusal otherwise.
+    bool resize_if_free(std::size_t bytes, Use use);
     // The same for what is held already, whether there is room or not.
     void record(std::size_t bytes, Use use);
     void release() { record(0, use_); }
     std::size_t bytes() const { return bytes_; }
-    std::size_t bytes(std::optional<Use> use) const { return !use || *use == use_ ? bytes_ : 0; }
+    std::size_t bytes(const Shortage& shortage) const {
+      const bool is_of_use = !shortage.use || *shortage.use == use_;
+      const bool is_of_share = !shortage.share || shortage.share == share_.get();
+      return is_of_use && is_of_share ? bytes_ : 0;
+    }
 
    private:
     std::shared_ptr<MemoryBudget> budget_;
@@ -93,8 +113,8 @@
   // Reservations refused because their share was too large already, and the server of the last of them.
   std::uint64_t refused_by_share() const { return refused_by_share_; }
   const std::string& last_refused_server() const { return last_refused_server_; }
-  // Whether a further request may be begun: its answer needs room, too.
-  bool has_room_for_request() const;
+  // Whether a further request may be begun: its answer needs room, too. Closes others for it.
+  bool make_room_for_request();
 
  private:
   struct Change {
@@ -103,8 +123,14 @@
   };
   bool fits_in_limit(const Change& change) const;
   bool fits_in_use(const Change& change) const;
+  bool fits_beside_other_uses(const Change& change) const;
   bool fits_in_share(const Change& change, const Share& share) const;
-  bool evict_one(std::optional<Use> use);
+  bool fits(const Change& change, const Share* share) const;
+  // Who holds most of it for longest is closed. False: nobody may be.
+  bool evict_one(const Shortage& shortage);
+  // Closes one that is in the way of that change. False: there is none.
+  bool make_room(const Change& change, const Share* share);
+  void reclaim_all();
   void apply(const Change& change);
   std::size_t limit_of(Use use) const;
 
@@ -114,6 +140,8 @@
   std::uint64_t refused_ = 0, evicted_ = 0, refused_by_share_ = 0;
   std::string last_refused_server_;
   Consumers consumers_;
+  // No consumer was found to close, or to give anything back, a moment before.
+  steady::time_point next_eviction_{}, next_reclaim_{};
 };
 
 }  // namespace robinpin::node
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -86,7 +86,7 @@
 
 awaitable<void> accept(tcp::acceptor& acceptor, Sockets& sockets, codec::Limits limits,
                        std::function<awaitable<void>(std::shared_ptr<Connection>)> serve) {
-  node::bound_unread_bytes(acceptor);
+  node::bound_buffers(acceptor);
   while (acceptor.is_open()) {
     asio::error_code error;
     tcp::socket socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
@@ -96,15 +96,18 @@
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
-    if (!sockets.ensure_capacity()) continue;  // closed unread: the caller retries elsewhere
+    if (!sockets.ensure_capacity_to_accept()) continue;  // closed unread: the caller retries elsewhere
     socket.set_option(tcp::no_delay(true), error);
     auto connection = std::make_shared<Connection>(std::move(socket), sockets, HTTP_REQUEST, limits);
     connection->set_accepted();
+    connection->bound_sending(Connection::UnsentOnClose::drained);
     asio::co_spawn(acceptor.get_executor(), serve(std::move(connection)), node::log_failure);
   }
 }
 
-void Server::listen(tcp::endpoint at) { node::listen_at(acceptor_, at, accept_backlog); }
+void Server::listen(tcp::endpoint at) {
+  node::listen_at(acceptor_, at, accept_backlog, node::Buffering::bounded);
+}
 
 void Server::run() {
   asio::co_spawn(
--- a/src/sidecar/client_connections.cpp
+++ b/src/sidecar/client_connections.cpp
@@ -67,7 +67,7 @@
       }
       const ScopedCount body_bytes(bodies_, source ? Source::kept : c->in.body().size());
       most_held_ = std::max(most_held_, *bodies_);
-      if (*bodies_ <= most_bodies_ && sockets_.memory().has_room_for_request())
+      if (*bodies_ <= most_bodies_ && sockets_.memory().make_room_for_request())
         a = co_await answer_to(c, source, gone);
       else
         ++counts_.refused, a = own(503, "this node holds all it can", unready_back);
--- a/src/sidecar/peer_connections.cpp
+++ b/src/sidecar/peer_connections.cpp
@@ -110,7 +110,7 @@
     } else {
       const auto in_flight = std::make_shared<InFlightRequest>();
       Result r;
-      if (!sockets_.memory().has_room_for_request()) {
+      if (!sockets_.memory().make_room_for_request()) {
         r.how = outcome::held;
         r.why = no_memory;
       } else {
--- a/src/sidecar/upstream_pool.cpp
+++ b/src/sidecar/upstream_pool.cpp
@@ -182,6 +182,7 @@
     ++dials;
     in_flight->connection =
         std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE, answer_limits, share_);
+    in_flight->connection->bound_sending(Connection::UnsentOnClose::dropped);
     in_flight->connection->limit(std::min(until, steady::now() + options_.dial_limit));
     const auto failed = co_await in_flight->connection->connect(to_);
     if (failed || in_flight->off) co_return told();
--- a/tests/mesh/memory_budget_test.cpp
+++ b/tests/mesh/memory_budget_test.cpp
@@ -16,10 +16,16 @@
 
 class Peer : public MemoryBudget::Consumer {
  public:
-  Peer(const std::shared_ptr<MemoryBudget>& budget, std::chrono::seconds age)
-      : memory(budget), budget_(*budget), since_(steady::now() - age), place_(budget_.add(this)) {}
+  Peer(const std::shared_ptr<MemoryBudget>& budget, std::chrono::seconds age,
+       std::shared_ptr<MemoryBudget::Share> share = nullptr)
+      : memory(budget, std::move(share)),
+        budget_(*budget),
+        since_(steady::now() - age),
+        place_(budget_.add(this)) {}
   ~Peer() override { budget_.remove(place_); }
-  std::size_t evictable_bytes(std::optional<Use> use) const override { return memory.bytes(use); }
+  std::size_t evictable_bytes(const MemoryBudget::Shortage& shortage) const override {
+    return memory.bytes(shortage);
+  }
   steady::time_point in_use_since() const override { return since_; }
   void evict() override { memory.release(); }
   Reservation memory;
@@ -128,3 +134,54 @@
   CHECK_EQUAL(100, uploading.memory.bytes());
   CHECK_EQUAL(0, reading.memory.bytes());
 }
+
+// Guards against unfinished requests and long answers that together leave nothing for ordinary requests.
+TEST(MemoryBudget, requests_in_part_and_long_answers_together_leave_a_quarter_for_ordinary_requests) {
+  const auto budget = std::make_shared<MemoryBudget>(1'000);
+  Reservation upload(budget), answer(budget), another(budget), ordinary(budget);
+  CHECK(upload.resize(400, Use::partial_request));
+  CHECK(answer.resize(350, Use::long_answer));
+  CHECK_FALSE(another.resize(1, Use::long_answer));
+  CHECK_FALSE(upload.resize(401, Use::partial_request));
+  CHECK(ordinary.resize(250, Use::ordinary));
+}
+
+// Guards against a server whose share is taken by clients that read nothing of its answers.
+TEST(MemoryBudget, who_makes_no_progress_gives_way_to_others_at_the_same_server) {
+  const auto budget = std::make_shared<MemoryBudget>(1'600);
+  const auto server = std::make_shared<MemoryBudget::Share>("server"),
+             other = std::make_shared<MemoryBudget::Share>("other");
+  Peer stalled(budget, std::chrono::seconds(5), server), elsewhere(budget, std::chrono::seconds(60), other);
+  CHECK(elsewhere.memory.resize(300, Use::long_answer));
+  CHECK(stalled.memory.resize(600, Use::long_answer));
+  Reservation next(budget, server);
+  CHECK(next.resize(300, Use::long_answer));
+  CHECK_EQUAL(0, stalled.memory.bytes());
+  CHECK_EQUAL(300, elsewhere.memory.bytes());
+}
+
+// Guards against ordinary requests that hear 503 for as long as a crowd that stands still is there.
+TEST(MemoryBudget, room_for_a_request_is_made_by_closing_who_makes_no_progress) {
+  const auto budget = std::make_shared<MemoryBudget>(12'800);
+  Peer stalled(budget, std::chrono::seconds(5)), at_work(budget, std::chrono::seconds(0));
+  CHECK(stalled.memory.resize(6'000, Use::ordinary));
+  CHECK(at_work.memory.resize(6'800, Use::ordinary));
+  CHECK(budget->make_room_for_request());
+  CHECK_EQUAL(0, stalled.memory.bytes());
+  Reservation rest(budget);
+  CHECK(rest.resize(6'000, Use::ordinary));
+  CHECK_FALSE(budget->make_room_for_request());
+  CHECK_EQUAL(6'800, at_work.memory.bytes());
+}
+
+// Guards against comforts, as a wider buffer, that others are closed for.
+TEST(MemoryBudget, what_is_only_taken_if_it_is_free_closes_nobody_and_is_no_refusal) {
+  const auto budget = std::make_shared<MemoryBudget>(1'000);
+  Peer peer(budget, std::chrono::seconds(60));
+  CHECK(peer.memory.resize(700, Use::ordinary));
+  Reservation wider(budget);
+  CHECK_FALSE(wider.resize_if_free(301, Use::long_answer));
+  CHECK(wider.resize_if_free(300, Use::long_answer));
+  CHECK_EQUAL(700, peer.memory.bytes());
+  CHECK_EQUAL(0, budget->refused() + budget->evicted());
+}
--- a/tests/mesh/resource_usage.h
+++ b/tests/mesh/resource_usage.h
@@ -21,7 +21,8 @@
   // Bytes: resident, arrived at its sockets and not read yet, and written to them and not acknowledged by the
   // peer yet; also at sockets that it has closed, and at those that it has not accepted yet.
   std::size_t memory = 0;
-  std::size_t unsent = 0;  // bytes of these that are written and not acknowledged
+  std::size_t unsent = 0;   // bytes of these that are written and not acknowledged
+  std::size_t unowned = 0;  // bytes of these at sockets that it has closed or not accepted yet
   std::size_t descriptors = 0;
 };
 
@@ -128,6 +129,7 @@
     if (!is_open && !is_closed) continue;
     usage.memory += socket.unread + socket.unsent;
     usage.unsent += socket.unsent;
+    if (!is_open) usage.unowned += socket.unread + socket.unsent;
   }
   return usage;
 }
--- a/tests/mesh/resource_watch_test.cpp
+++ b/tests/mesh/resource_watch_test.cpp
@@ -66,10 +66,11 @@
   usage.memory_limit_bytes = 1'000;
   usage.resident_bytes = 700;
   CHECK_FALSE(watch.memory_notice(1, usage).has_value());
-  usage.unread_bytes = 60;
+  usage.unread_bytes = 40;
+  usage.unsent_bytes = 20;
   const auto notice = watch.memory_notice(2, usage);
   CHECK(notice.has_value());
-  STRCMP_CONTAINS("resident=700 unread=60 limit=1000", notice->text.c_str());
+  STRCMP_CONTAINS("resident=700 unread=40 unsent=20 limit=1000", notice->text.c_str());
   CHECK_FALSE(watch.memory_notice(3, usage).has_value());
   CHECK(watch.memory_notice(10'000'002, usage).has_value());
   CHECK(app::resident_bytes() > 100'000);
