Long answers go on as they come, at the pace of the slower side

What callers saw: clients that read long answers slowly, or not at all, took the room of all others, who heard 503 for as long as the crowd lasted.

Cause: answers were held whole, so a reader cost as much memory as its answer is long.

Change: an answer of over 64 KiB is streamed once 48 KiB of it have come: head, then piece by piece; what its client does not read stays at its server. Until the head goes on nothing has changed: another's answer may take its place. After it a break ends the client's connection by a reset, so that it can tell. The server's part ends with the request's deadline, the client's with 5 s without a piece, 10 s in all beyond it. A client that leaves ends the answer at its server. Connections are kept for further requests as before. Writing an answer stands once now, for both proxies.

Tests changed, each as strict: an endless answer that begins soundly is now begun with 200 and cut off where its time is over, so FaultyServer takes the beginning of an answer and the connection's end for an answer of just these four kinds (whole ones for all others), and its client drops bodies as they come.

--- a/src/sidecar/client_connections.cpp
+++ b/src/sidecar/client_connections.cpp
@@ -78,20 +78,11 @@
     const bool rest = source && !c->in.whole();
     // What a client has sent behind this request already is answered, too, before a process ends.
     const bool last = ending_ && !c->in.behind() && c->still();
-    const bool stays = read && !rest && c->in.keep_alive() && !last;
-    c->hold(std::move(a.held));
-    c->limit(steady::now() + write_limit);
-    const bool bare = a.status == 204 || a.status == 304;
-    const std::string head =
-        fmt::format("HTTP/1.1 {} {}\r\n{}{}{}\r\n", a.status, rpc::phrase(a.status), a.headers,
-                    bare ? "" : fmt::format("Content-Length: {}\r\n", a.body.size()),
-                    stays ? "" : "Connection: close\r\n");
-    std::size_t written = 0;
-    error = co_await c->write(head, c->in.method() == "HEAD" ? std::string_view() : std::string_view(a.body),
-                              written);
-    if (!error && rest) co_await read_out(*c);
-    if (!error && !stays) co_await c->see_out(out_limit);
-    if (error || !stays) co_return;
+    bool stays = read && !rest && c->in.keep_alive() && !last;
+    const bool is_written = co_await write_answer(c, std::move(a), c->in.method() != "HEAD", stays);
+    if (is_written && rest) co_await read_out(*c);
+    if (is_written && !stays) co_await c->see_out(out_limit);
+    if (!is_written || !stays) co_return;
     if (const auto next = c->next(); next != codec::reading::unfinished && next != codec::reading::complete)
       co_return;
   }
--- a/src/sidecar/outbound_proxy.cpp
+++ b/src/sidecar/outbound_proxy.cpp
@@ -116,6 +116,7 @@
     if (!of_mesh(name)) a.headers += fmt::format("{}: {}\r\n", name, value);
   a.body = std::move(f.body);
   a.held = std::move(f.held);
+  a.stream = std::move(f.stream);
   return a;
 }
 
--- a/src/sidecar/outbound_proxy.h
+++ b/src/sidecar/outbound_proxy.h
@@ -73,9 +73,14 @@
     int status = 503;
     std::string headers, body;
     std::shared_ptr<node::MemoryBudget::Reservation> held;  // the body's
+    std::shared_ptr<AnswerStream> stream;                   // in place of the body, for a long one
   };
 
   awaitable<void> refuse_unread(std::shared_ptr<Connection> c);
+  // Writes the answer to the request that was read there. False: not all of it was written. `stays`: whether
+  // the connection may be used again, which it says to its peer; it is cleared for an answer that ends with
+  // it.
+  awaitable<bool> write_answer(std::shared_ptr<Connection> c, Answer answer, bool has_body, bool& stays);
   awaitable<Answer> answer_to(std::shared_ptr<Connection> c, std::shared_ptr<Source> source, bool& gone);
   awaitable<Answer> run(std::shared_ptr<Connection> c, client_request t, bool& gone);
   awaitable<void> post(client_request t, node::Order order);
--- a/src/sidecar/peer_connections.cpp
+++ b/src/sidecar/peer_connections.cpp
@@ -136,16 +136,10 @@
     if (source) inner_bytes_ += c->in.came();
     if (gone || !c->open() || (source && source->failed)) co_return;
     const bool rest = source && !c->in.whole();
-    const bool stays = !rest && c->in.keep_alive() && !ending_;
-    c->hold(std::move(a.held));
-    c->limit(steady::now() + write_limit);
-    const std::string head =
-        fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: {}\r\n{}\r\n", a.status, rpc::phrase(a.status),
-                    a.headers, a.body.size(), stays ? "" : "Connection: close\r\n");
-    std::size_t written = 0;
-    error = co_await c->write(head, a.body, written);
-    if (!error && rest) co_await read_out(*c);
-    if (error || !stays) co_return;
+    bool stays = !rest && c->in.keep_alive() && !ending_;
+    const bool is_written = co_await write_answer(c, std::move(a), true, stays);
+    if (is_written && rest) co_await read_out(*c);
+    if (!is_written || !stays) co_return;
     if (const auto next = c->next(); next != codec::reading::unfinished && next != codec::reading::complete)
       co_return;
   }
--- a/src/sidecar/request_routing.cpp
+++ b/src/sidecar/request_routing.cpp
@@ -227,6 +227,7 @@
   ++endings_[fmt::format(
       "{}:{} {}", t->service, words[int(result->how)],
       result->how == outcome::answered ? std::to_string(result->fate.status) : result->why)];
+  if (how != ending::settled && t->last != result) result->fate.stream.reset();
   t->done[order.posting] = result;
   const bool again = how != ending::settled && !t->visit->over();
   if (again && t->arrivals >= t->channel->tries) t->desk->no_further(t->visit);
--- a/src/sidecar/upstream_pool.cpp
+++ b/src/sidecar/upstream_pool.cpp
@@ -89,6 +89,18 @@
   }
 }
 
+namespace {
+
+// Reads on, and drops, what is left of an answer that belongs to no request.
+awaitable<void> read_past(Connection& c, asio::error_code& error) {
+  while (!error && !c.in.whole()) {
+    c.in.pass_on();
+    if (co_await c.more(error) == codec::reading::malformed) error = asio::error::invalid_argument;
+  }
+}
+
+}  // namespace
+
 awaitable<UpstreamPool::Poured> UpstreamPool::pour(std::shared_ptr<Connection> to,
                                                    std::shared_ptr<InFlightRequest> in_flight,
                                                    std::shared_ptr<Source> source, bool framed) {
@@ -241,10 +253,11 @@
   if (error || in_flight->off) co_return told();
   bool nameless_refusal = false;
   for (int strangers = 0, interims = 0;;) {
-    codec::reading got =
-        c.in.whole() ? codec::reading::complete : co_await c.read(error, request->longest_answer);
+    codec::reading got = co_await read_answer(c, error, request->longest_answer);
     if (in_flight->off || got == codec::reading::unfinished) co_return told();
-    if (got != codec::reading::complete) {
+    const bool is_streamed =
+        got == codec::reading::longer && request->longest_answer > AnswerStream::held_bytes;
+    if (got != codec::reading::complete && !is_streamed) {
       f.broken = true;
       co_return told();
     }
@@ -269,6 +282,8 @@
       f.broken = true;
       co_return told();
     }
+    if (is_streamed) co_await read_past(c, error);
+    if (error || in_flight->off) co_return told();
     if (c.in.next() == codec::reading::malformed) {
       f.broken = true;
       co_return told();
@@ -287,33 +302,49 @@
     const auto [name, value] = c.in.header(i);
     if (!of_connection(name, listed)) f.headers.emplace_back(name, codec::trim(value));
   }
+  const auto idle_limit = idle_limit_of(c.in);
+  const bool is_reusable = wanted && !nameless_refusal && lane.incarnation == incarnation_;
+  lane.connection = held;
+  if (!c.in.whole()) {
+    f.stream = std::make_shared<AnswerStream>(held, until, [this, lane, known_as, idle_limit, is_reusable] {
+      if (is_reusable) keep(lane, known_as, idle_limit);
+    });
+    co_return told();
+  }
+  const bool is_long = c.in.body().size() > node::MemoryBudget::short_message_bytes;
   f.held = std::make_shared<node::MemoryBudget::Reservation>(sockets_.shared_memory());
-  f.held->record(c.in.body().size(), c.in.body().size() > Source::kept ? node::MemoryBudget::Use::long_answer
-                                                                       : node::MemoryBudget::Use::ordinary);
+  f.held->record(c.in.body().size(),
+                 is_long ? node::MemoryBudget::Use::long_answer : node::MemoryBudget::Use::ordinary);
   f.body = c.in.body();
-  // What its peer tells of how long it keeps an idle connection, less a little: none is met as it is being
-  // closed.
-  auto keep = options_.idle_limit;
-  if (const auto told_keep = c.in.header("Keep-Alive"); !told_keep.empty())
-    if (const auto at = told_keep.find("timeout="); at != std::string_view::npos) {
-      const auto digits = told_keep.substr(at + 8, told_keep.find_first_of(", ;", at + 8) - (at + 8));
-      if (const auto s = codec::whole_number(digits); s >= 0)
-        keep = std::min<steady::duration>(keep, std::chrono::seconds(s) * 8 / 10);
-    }
   c.in.let_go();
   // A copy of a refusal that named no request could be any request's.
-  if (wanted && !nameless_refusal && lane.incarnation == incarnation_ && c.in.keep_alive() &&
-      !c.in.behind() && idle_.size() < options_.most_idle) {
-    c.next();
-    c.no_limit();
-    if (c.quiet()) {
-      c.idle_since = steady::now() + keep;
-      lane.connection = held;
-      lane.ids[lane.carried++ % lane.ids.size()] = known_as;
-      idle_.push_back(std::move(lane));
-    }
-  }
+  if (is_reusable) keep(std::move(lane), known_as, idle_limit);
   co_return told();
 }
 
+// Less a little than its peer tells: none is met as it is being closed.
+steady::duration UpstreamPool::idle_limit_of(const codec::Message& answer) const {
+  constexpr std::string_view name = "timeout=";
+  const std::string_view keep_alive = answer.header("Keep-Alive");
+  const auto at = keep_alive.find(name);
+  if (at == std::string_view::npos) return options_.idle_limit;
+  const std::string_view value = keep_alive.substr(at + name.size());
+  const auto seconds = codec::whole_number(value.substr(0, value.find_first_of(", ;")));
+  if (seconds < 0) return options_.idle_limit;
+  return std::min<steady::duration>(options_.idle_limit, std::chrono::seconds(seconds) * 8 / 10);
+}
+
+void UpstreamPool::keep(PooledConnection pooled, std::uint32_t request, steady::duration idle_limit) {
+  Connection& connection = *pooled.connection;
+  const bool is_of_use = pooled.incarnation == incarnation_ && connection.in.keep_alive() &&
+                         !connection.in.behind() && idle_.size() < options_.most_idle;
+  if (!is_of_use) return;
+  connection.next();
+  connection.no_limit();
+  if (!connection.quiet()) return;
+  connection.idle_since = steady::now() + idle_limit;
+  pooled.ids[pooled.carried++ % pooled.ids.size()] = request;
+  idle_.push_back(std::move(pooled));
+}
+
 }  // namespace robinpin::sidecar
--- a/src/sidecar/upstream_pool.h
+++ b/src/sidecar/upstream_pool.h
@@ -17,13 +17,11 @@
 #include <vector>
 
 #include "../net/connection.h"
+#include "answer_stream.h"
 
 namespace robinpin::sidecar {
 
-using asio::awaitable;
-using node::Connection;
 using node::Sockets;
-using node::steady;
 using tcp = asio::ip::tcp;
 
 // A body that is still coming from its sender: it goes on piece by piece, at the pace of the slower side.
@@ -63,10 +61,11 @@
   bool early = false;    // answered before it had all of a long body
   int status = 0;
   std::vector<std::pair<std::string, std::string>> headers;  // without those of the connection
-  std::string body;
-  std::shared_ptr<node::MemoryBudget::Reservation> held;  // the body's
-  micros lag = 0;                                         // in all, without what its sender took
-  micros served = 0;                                      // since it was handed over whole
+  std::string body;                                          // if it is held whole
+  std::shared_ptr<node::MemoryBudget::Reservation> held;     // the body's
+  std::shared_ptr<AnswerStream> stream;                      // in its place, for a long one
+  micros lag = 0;                                            // in all, without what its sender took
+  micros served = 0;                                         // since it was handed over whole
   std::string_view header(std::string_view name) const;
 };
 
@@ -126,6 +125,10 @@
     bool has(std::uint32_t id) const { return std::find(ids.begin(), ids.end(), id) != ids.end(); }
   };
   PooledConnection kept(std::uint32_t id);
+  // Keeps a connection whose answer is done, if it is of further use.
+  void keep(PooledConnection connection, std::uint32_t request, steady::duration idle_limit);
+  // How long the peer keeps it idle, as its answer tells.
+  steady::duration idle_limit_of(const codec::Message& answer) const;
   struct Poured {
     asio::error_code error;
     bool whole = false, early = false;  // early: its peer has said something before it had all
--- a/tests/mesh/crowd_test.cpp
+++ b/tests/mesh/crowd_test.cpp
@@ -3,6 +3,7 @@
 // directions, and its descriptors within `file_limit`, and an ordinary caller is answered while they stay and
 // afterwards. No time and no share of served requests is judged.
 #include "crowd.h"
+#include "crowd_targets.h"
 #include "help.h"
 #include "mesh_processes.h"
 #include "resource_usage.h"
@@ -32,8 +33,6 @@
 constexpr int many_routes = 3'000;  // a configuration whose text is long
 constexpr auto limit = 30s;         // for what has to come, on a slow machine too
 
-enum class Port { outbound, inbound, sidecar_control, readiness, core_control };
-
 // A core, a sidecar with an application server that answers, and a sidecar of callers.
 class Play {
  public:
@@ -156,33 +155,25 @@
 
   std::vector<ObservedProcess> observed_processes(Port crowd_at) {
     std::vector<KernelEndpoint> only_callers_connect_to;
-    if (crowd_at != Port::inbound)
-      only_callers_connect_to.push_back(kernel_endpoint_of(text_of(servers_->inbound())));
+    if (crowd_at != Port::inbound) only_callers_connect_to.push_back(kernel_endpoint_of(servers_->inbound()));
     return {{"core", {core_.pid(1), core_.ip(1), {}, {}}, {}},
             {"callers' sidecar", addresses_of(*callers_, only_callers_connect_to), {}},
             {"server's sidecar", addresses_of(*servers_, {}), {}}};
   }
-  static ProcessAddresses addresses_of(Sidecar& sidecar, std::vector<KernelEndpoint> connects_to) {
-    const KernelEndpoint server = kernel_endpoint_of(sidecar.server().address());
-    connects_to.push_back(server);
-    return {sidecar.process().pid(), sidecar.ip(), std::move(connects_to), {server}};
-  }
-  static std::string text_of(const tcp::endpoint& endpoint) {
-    return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
-  }
   static void observe(std::vector<ObservedProcess>& processes) {
     const std::vector<KernelSocket> sockets = kernel_sockets();
     for (ObservedProcess& process : processes) {
       const ResourceUsage now = usage_of(process.addresses, sockets);
       process.most.memory = std::max(process.most.memory, now.memory);
       process.most.unsent = std::max(process.most.unsent, now.unsent);
+      process.most.unowned = std::max(process.most.unowned, now.unowned);
       process.most.descriptors = std::max(process.most.descriptors, now.descriptors);
     }
   }
   void expect_within_limits(const ObservedProcess& process) {
     const std::size_t memory = process.most.memory / megabyte, descriptors = process.most.descriptors;
-    fmt::print("{}: at most {} MB ({} MB unsent), {} descriptors\n", process.name, memory,
-               process.most.unsent / megabyte, descriptors);
+    fmt::print("{}: at most {} MB ({} MB unsent, {} MB unowned), {} descriptors\n", process.name, memory,
+               process.most.unsent / megabyte, process.most.unowned / megabyte, descriptors);
     const int memory_mb = size_.memory_mb, file_limit = size_.file_limit;
 #ifndef ROBINPIN_SANITIZED  // the sanitizers' own memory is a multiple of the program's
     expect(memory <= std::size_t(memory_mb),
@@ -193,33 +184,7 @@
   }
 
   CrowdTarget target_at(Port port) {
-    const std::string mesh_headers = fmt::format(
-        "X-Attempt-Id: crowd\r\nX-Remaining-Ms: 20000\r\nX-Target-Instance: i-{}\r\nX-Mesh-Deadline-Ms: "
-        "20000\r\nX-Mesh-Aim-Ms: 20000\r\n",
-        servers_->ip());
-    const std::string client_headers = "Host: a.example\r\nX-Attempt-Id: crowd\r\nX-Remaining-Ms: 20000\r\n";
-    const auto get = [](std::string_view path, const std::string& headers) {
-      return fmt::format("GET {} HTTP/1.1\r\n{}\r\n", path, headers);
-    };
-    const std::string json = "Host: c\r\nContent-Type: application/json\r\n";
-    switch (port) {
-      case Port::outbound:
-        return {callers_->outbound(), get("/p0/large", client_headers), get("/p0/medium", client_headers),
-                "POST /p0/x HTTP/1.1\r\n" + client_headers, 4 * megabyte};
-      case Port::inbound:
-        return {servers_->inbound(), get("/p0/large", mesh_headers), get("/p0/medium", mesh_headers),
-                "POST /p0/x HTTP/1.1\r\n" + mesh_headers, 4 * megabyte};
-      case Port::sidecar_control:
-        return {callers_->control(), get("/v1/status", json), get("/v1/status", json),
-                "POST /v1/Servers.Heartbeat/i-crowd HTTP/1.1\r\n" + json, 64'000};
-      case Port::readiness:
-        return {callers_->readiness(), get("/v1/readiness", json), get("/v1/readiness", json),
-                "POST /v1/readiness HTTP/1.1\r\n" + json, 64'000};
-      case Port::core_control:
-        break;
-    }
-    return {core_endpoint(), get("/v1/Configuration.Read", json), get("/v1/Configuration.Read", json),
-            "POST /v1/Configuration.Adjust HTTP/1.1\r\n" + json, 16'000'000};
+    return crowd_target(port, port == Port::inbound ? *servers_ : *callers_, core_endpoint());
   }
   tcp::endpoint core_endpoint() const {
     return {asio::ip::make_address(core_.ip(1)), std::uint16_t(core_.control_port())};
--- a/tests/mesh/faulty_answers.h
+++ b/tests/mesh/faulty_answers.h
@@ -27,6 +27,20 @@
   bytes_behind_an_answer,  // behind one that is whole
 };
 
+// Whether such an answer begins as a sound one of great length: it is passed on as it comes, until its time
+// is over.
+inline bool begins_as_long_answer(FaultyAnswer kind) {
+  switch (kind) {
+    case FaultyAnswer::body_of_legal_length:
+    case FaultyAnswer::chunks:
+    case FaultyAnswer::one_byte_chunks:
+    case FaultyAnswer::one_endless_chunk:
+      return true;
+    default:
+      return false;
+  }
+}
+
 // Writes such an answer, with that status line and those headers of a sound one, until the connection ends.
 inline awaitable<void> send_faulty_answer(std::shared_ptr<node::Connection> connection, FaultyAnswer kind,
                                           std::string head) {
--- a/tests/mesh/faulty_server_test.cpp
+++ b/tests/mesh/faulty_server_test.cpp
@@ -1,6 +1,7 @@
 // A faulty application server beside a sidecar of real processes, whose settings name low limits. Whatever it
-// sends: the sidecar lives, its memory stays within `memory_mb`, each of its callers gets an answer, and so
-// does who asks a sound service meanwhile. No time and no share of served requests is judged.
+// sends: the sidecar lives, its memory stays within `memory_mb`, each of its callers gets an answer, or the
+// beginning of one and then the end of the connection, and who asks a sound service meanwhile gets an answer
+// whole. No time and no share of served requests is judged.
 #include "help.h"
 #include "mesh_processes.h"
 #include "resource_usage.h"
@@ -52,6 +53,7 @@
 
  private:
   struct Callers {
+    bool get_whole_answers = true;  // one that was begun and cut off is none
     int running = 0, answered = 0, unanswered = 0;
     std::map<int, int> by_status;
   };
@@ -69,6 +71,7 @@
     faulty_->server().answer_with(kind);
     const auto end = steady::now() + duration;
     Callers of_faulty, of_sound;
+    of_faulty.get_whole_answers = !begins_as_long_answer(kind);
     for (int n = 0; n < callers_of_faulty_service; ++n) start(of_faulty, entry, "/p0/x", end);
     for (int n = 0; n < callers_of_sound_service; ++n) start(of_sound, entry, "/p1/x", end);
     if (progress == Progress::frozen_for_a_while) co_await freeze(entry);
@@ -115,9 +118,11 @@
   // Each request over a connection of its own, again after its answer.
   awaitable<void> ask_until(Callers& callers, Sidecar& at, std::string path, steady::time_point end) {
     while (steady::now() < end) {
-      const int status = co_await client_.request(at.outbound(), "GET", path, "", limit);
-      ++(status == 0 ? callers.unanswered : callers.answered);
-      ++callers.by_status[status];
+      const TestClient::Outcome outcome =
+          co_await client_.outcome_of_request(at.outbound(), "GET", path, "", limit);
+      const bool is_answered = outcome.status != 0 && (outcome.is_whole || !callers.get_whole_answers);
+      ++(is_answered ? callers.answered : callers.unanswered);
+      ++callers.by_status[outcome.status];
       co_await core_.span(20ms);
     }
   }
--- a/tests/mesh/sidecar_test.cpp
+++ b/tests/mesh/sidecar_test.cpp
@@ -3,6 +3,7 @@
 #include <asio.hpp>
 #include <fmt/format.h>
 
+#include <list>
 #include <thread>
 
 #include "../../src/sidecar/outbound_proxy.h"
@@ -127,7 +128,9 @@
 // Nodes 0 .. n-1 of one zone, each with a server of service "one"; a client calls node 0.
 class Mesh {
  public:
-  explicit Mesh(int n, int tries = 2, std::int64_t deadline_ms = 2'000) : sockets_(1'000) {
+  explicit Mesh(int n, int tries = 2, std::int64_t deadline_ms = 2'000,
+                std::size_t memory_bytes = node::MemoryBudget::unlimited)
+      : memory(std::make_shared<node::MemoryBudget>(memory_bytes)), sockets_(1'000, memory) {
     for (std::uint16_t port = 22'000; port < 30'000 && !open(n, port); port = std::uint16_t(port + 7))
       nodes_.clear();
     configuration::ConfigurationStore& c = state;
@@ -289,6 +292,7 @@
   }
   std::function<void()> meanwhile;  // after each turn of a call
 
+  const std::shared_ptr<node::MemoryBudget> memory;  // of all nodes and servers together
   asio::io_context io;
   gossip::MembershipTable roll;
   configuration::ConfigurationStore state;
@@ -778,6 +782,183 @@
   }
 }
 
+namespace {
+
+// A client of its own that asks node 0 once, and reads what it is answered.
+class Reader {
+ public:
+  explicit Reader(Mesh& mesh, std::string id = "reader")
+      : mesh_(mesh),
+        id_(std::move(id)),
+        connection_(std::make_shared<node::Connection>(tcp::socket(mesh.io), sockets_, HTTP_RESPONSE,
+                                                       codec::Limits{16 * 1024, 16 * 1024 * 1024})) {
+    asio::co_spawn(mesh.io, ask(), asio::detached);
+  }
+  void read() { asio::co_spawn(mesh_.io, read_whole(), asio::detached); }
+  void leave() { connection_->close(); }
+  bool is_over() const { return is_over_; }
+  bool is_whole() const { return connection_->in.whole(); }
+  const codec::Message& answer() const { return connection_->in; }
+
+ private:
+  awaitable<void> ask() {
+    co_await connection_->connect(mesh_.calls_at());
+    std::size_t written = 0;
+    const std::string request =
+        fmt::format("GET /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {}\r\n\r\n", id_);
+    co_await connection_->write(request, {}, written);
+  }
+  awaitable<void> read_whole() {
+    asio::error_code error;
+    co_await connection_->read(error);
+    is_over_ = true;
+  }
+  Mesh& mesh_;
+  const std::string id_;
+  node::Sockets sockets_{10};
+  const std::shared_ptr<node::Connection> connection_;
+  bool is_over_ = false;
+};
+
+std::string sealed_head(const codec::Message& request, const std::string& framing) {
+  return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: s\r\n{}\r\n\r\n",
+                     request.header("X-Attempt-Id"), framing);
+}
+
+std::string in_chunks(const std::string& body, std::size_t size) {
+  std::string text;
+  for (std::size_t at = 0; at < body.size(); at += size) {
+    const std::string piece = body.substr(at, size);
+    text += fmt::format("{:x}\r\n{}\r\n", piece.size(), piece);
+  }
+  return text + "0\r\n\r\n";
+}
+
+std::string counted_text(std::size_t bytes) {
+  std::string text;
+  for (int n = 0; text.size() < bytes; ++n) text += std::to_string(n);
+  return text.substr(0, bytes);
+}
+
+constexpr std::size_t megabyte = 1024 * 1024;
+
+}  // namespace
+
+// Guards against answers that a node holds whole: a crowd of slow readers took all memory, or was refused it.
+TEST(Sidecar, a_long_answer_arrives_whole_through_nodes_that_have_no_memory_for_it) {
+  const std::string body = counted_text(8 * megabyte);
+  for (const int remote : {0, 1})
+    for (const bool has_length : {true, false}) {
+      Mesh m(2, 2, 2'000, 2 * megabyte);
+      m.only({remote});
+      m.box(remote).answer = [&](const codec::Message& in) {
+        ++m.box(remote).runs;
+        return has_length ? sealed_head(in, fmt::format("Content-Length: {}", body.size())) + body
+                          : sealed_head(in, "Transfer-Encoding: chunked") + in_chunks(body, 10'000);
+      };
+      for (int n = 1; n <= 2; ++n) {  // the second over the same connections
+        Reader reader(m, fmt::format("reader-{}", n));
+        reader.read();
+        CHECK(m.until([&] { return reader.is_over(); }));
+        CHECK_EQUAL(200, reader.answer().status());
+        CHECK(reader.answer().body() == body);
+        CHECK_EQUAL(has_length, reader.answer().times("Content-Length") == 1);
+        CHECK(m.until([&] { return m.carry(0).pending() + m.carry(1).pending() == 0; }));
+        CHECK_EQUAL(n, m.runs());
+      }
+      CHECK_EQUAL(1, m.box(remote).taken_in);
+      CHECK_EQUAL(0, m.memory->refused());
+    }
+}
+
+// Guards against a client that takes half of an answer for the whole of it.
+TEST(Sidecar, a_long_answer_that_its_server_breaks_off_ends_as_one_that_is_not_whole) {
+  for (const int remote : {0, 1})
+    for (const bool has_length : {true, false}) {
+      Mesh m(2);
+      m.only({remote});
+      m.box(remote).answer = [&](const codec::Message& in) {
+        ++m.box(remote).runs;
+        m.box(remote).ends = true;
+        const std::string part = counted_text(megabyte);
+        return has_length ? sealed_head(in, "Content-Length: 2000000") + part
+                          : sealed_head(in, "Transfer-Encoding: chunked") +
+                                in_chunks(part, 10'000).substr(0, megabyte);
+      };
+      Reader reader(m);
+      reader.read();
+      CHECK(m.until([&] { return reader.is_over(); }));
+      CHECK_EQUAL(200, reader.answer().status());
+      CHECK_FALSE(reader.is_whole());
+      CHECK_EQUAL(1, m.runs());
+      CHECK(m.until([&] { return m.carry(0).pending() + m.carry(1).pending() == 0; }));
+    }
+}
+
+// Guards against an answer that goes on before another's could not take its place any more.
+TEST(Sidecar, a_long_answer_that_breaks_off_at_its_beginning_is_replaced_by_another_servers) {
+  Mesh m(3);
+  const std::string body = counted_text(megabyte);
+  int broken = 0;
+  for (const int i : {1, 2})
+    m.box(i).answer = [&, i](const codec::Message& in) {
+      ++m.box(i).runs;
+      const std::string whole = sealed_head(in, fmt::format("Content-Length: {}", body.size())) + body;
+      m.box(i).ends = broken++ == 0;
+      return m.box(i).ends ? whole.substr(0, 20'000) : whole;
+    };
+  m.only({1, 2});
+  Reader reader(m);
+  reader.read();
+  CHECK(m.until([&] { return reader.is_over(); }));
+  CHECK_EQUAL(200, reader.answer().status());
+  CHECK(reader.answer().body() == body);
+  CHECK_EQUAL(2, m.runs());
+}
+
+// Guards against servers that go on sending to clients that have left.
+TEST(Sidecar, a_client_that_leaves_in_the_midst_of_a_long_answer_ends_it_at_its_server) {
+  for (const int remote : {0, 1}) {
+    Mesh m(2);
+    m.only({remote});
+    m.box(remote).answer = [&](const codec::Message& in) {
+      ++m.box(remote).runs;
+      return sealed_head(in, fmt::format("Content-Length: {}", 8 * megabyte)) +
+             std::string(8 * megabyte, 'x');
+    };
+    Reader reader(m);
+    CHECK(m.until([&] { return m.runs() == 1; }));
+    m.io.run_for(100ms);
+    CHECK_EQUAL(1, m.carry(0).pending());
+    reader.leave();
+    CHECK(m.until([&] { return m.carry(0).pending() + m.carry(1).pending() == 0; }));
+    const auto& connections = m.box(remote).connections;
+    CHECK(m.until([&] {
+      return std::all_of(connections.begin(), connections.end(),
+                         [](const auto& c) { return c.expired() || !c.lock()->open(); });
+    }));
+  }
+}
+
+// Guards against readers that take nothing and keep others from their long answers.
+TEST(Sidecar, who_reads_nothing_of_a_long_answer_gives_way_to_who_does) {
+  const std::string body = counted_text(megabyte);
+  Mesh m(1, 2, 20'000, 2 * megabyte);
+  m.box(0).answer = [&](const codec::Message& in) {
+    ++m.box(0).runs;
+    return sealed_head(in, fmt::format("Content-Length: {}", body.size())) + body;
+  };
+  std::list<Reader> idle;
+  for (int n = 0; n < 12; ++n) idle.emplace_back(m);
+  CHECK(m.until([&] { return m.runs() >= 4; }));
+  m.io.run_for(std::chrono::seconds(node::MemoryBudget::least_age_to_evict) + 200ms);
+  Reader reader(m);
+  reader.read();
+  CHECK(m.until([&] { return reader.is_over(); }));
+  CHECK(reader.answer().body() == body);
+  CHECK(m.memory->evicted() > 0);
+}
+
 TEST(Sidecar, requests_that_were_pipelined_before_a_node_ends_are_all_answered) {
   Mesh m(1);
   m.box(0).late = [] { return 20ms; };
@@ -1327,6 +1508,24 @@
 
 namespace {
 
+// The whole answers at the beginning of what has come, which are taken out of it. Each tells its length, or
+// has no body.
+std::string taken_whole_answers(std::string& come) {
+  std::size_t whole = 0;
+  for (;;) {
+    const auto head_end = come.find("\r\n\r\n", whole);
+    if (head_end == come.npos) break;
+    const auto length = come.find("Content-Length: ", whole);
+    std::size_t end = head_end + 4;
+    if (length < head_end) end += std::stoul(come.substr(length + 16, 20));
+    if (end > come.size()) break;
+    whole = end;
+  }
+  std::string taken = come.substr(0, whole);
+  come.erase(0, whole);
+  return taken;
+}
+
 // Drawn plays: clients that keep connections, pipeline and leave; servers whose answers come doubled, late,
 // cut off, under another name or none, that fall silent, reset and live again; between the nodes the same.
 // Who answered what is written down by the servers, and each client holds its answers against that.
@@ -1338,7 +1537,10 @@
     for (int i = 1; i < servers_ && draw(2) == 0; ++i) {
       relays_.push_back(m_.relay(Mesh::place::nodes, i));
       relays_.back()->mangle = [this, i](int at, std::string bytes) {
-        return surplus(owed_between_[{i, at}], std::move(bytes), 10);
+        std::string& pending = pending_between_[{i, at}];
+        pending += bytes;
+        const std::string whole = taken_whole_answers(pending);
+        return whole.empty() ? whole : surplus(owed_between_[{i, at}], whole, 10);
       };
     }
     for (int i = 0; i < clients; ++i) asio::co_spawn(m_.io, client(), asio::detached);
@@ -1482,7 +1684,7 @@
   std::mt19937 chance_;
   const int servers_;
   std::map<std::string, Request> asked_;
-  std::map<std::pair<int, int>, std::string> owed_, owed_between_;
+  std::map<std::pair<int, int>, std::string> owed_, owed_between_, pending_between_;
   Mesh m_;
   std::vector<std::unique_ptr<Relay>> relays_;
   int left_ = clients;
--- a/tests/mesh/test_client.h
+++ b/tests/mesh/test_client.h
@@ -14,9 +14,17 @@
  public:
   explicit TestClient(Loop& loop) : loop_(loop) {}
 
-  // The status of the answer; 0: none came whole within the limit. `headers`: each with its line end.
-  awaitable<int> call(tcp::endpoint to, std::string method, std::string path, std::string headers,
-                      std::string body, steady::duration limit = 5s) {
+  // With a constructor: gcc 12 destroys a temporary without one twice where it is waited for.
+  struct Outcome {
+    explicit Outcome(int answered = 0, bool whole = false) : status(answered), is_whole(whole) {}
+    int status;     // of the answer's head; 0: none came
+    bool is_whole;  // all of the answer has come; else its connection ended before that, or the limit did
+  };
+
+  // What became of a call, within the limit. The body of its answer is dropped as it comes. `headers`: each
+  // with its line end.
+  awaitable<Outcome> outcome_of(tcp::endpoint to, std::string method, std::string path, std::string headers,
+                                std::string body, steady::duration limit) {
     const auto c = std::make_shared<node::Connection>(tcp::socket(loop_.io), loop_.sockets, HTTP_RESPONSE,
                                                       answer_limits);
     c->limit(steady::now() + limit);
@@ -27,16 +35,35 @@
     std::size_t written = 0;
     if (!error) error = co_await c->write(head, body, written);
     codec::reading got = codec::reading::unfinished;
-    if (!error) got = co_await c->read(error);
-    co_return error || got != codec::reading::complete ? 0 : c->in.status();
+    while (!error && got == codec::reading::unfinished) {
+      got = co_await c->more(error);
+      if (got == codec::reading::unfinished) c->in.pass_on();
+    }
+    const bool has_head = c->in.whole() || c->in.told() || c->in.open_ended();
+    co_return Outcome(has_head ? c->in.status() : 0, !error && got == codec::reading::complete);
+  }
+
+  // The status of the answer; 0: none came whole within the limit.
+  awaitable<int> call(tcp::endpoint to, std::string method, std::string path, std::string headers,
+                      std::string body, steady::duration limit = 5s) {
+    const Outcome outcome = co_await outcome_of(to, std::move(method), std::move(path), std::move(headers),
+                                                std::move(body), limit);
+    co_return outcome.is_whole ? outcome.status : 0;
   }
 
   // The same under an attempt id of its own and with four seconds to be answered.
   awaitable<int> request(tcp::endpoint to, std::string method, std::string path, std::string body = "",
                          steady::duration limit = 5s) {
+    const Outcome outcome =
+        co_await outcome_of_request(to, std::move(method), std::move(path), std::move(body), limit);
+    co_return outcome.is_whole ? outcome.status : 0;
+  }
+  awaitable<Outcome> outcome_of_request(tcp::endpoint to, std::string method, std::string path,
+                                        std::string body, steady::duration limit) {
     std::string headers = fmt::format("X-Attempt-Id: r{}\r\nX-Remaining-Ms: 4000\r\n", ++requests_);
-    co_return co_await call(to, std::move(method), std::move(path), std::move(headers), std::move(body),
-                            limit);
+    const Outcome outcome = co_await outcome_of(to, std::move(method), std::move(path), std::move(headers),
+                                                std::move(body), limit);
+    co_return outcome;
   }
 
   // Requests again until it is answered 200 or the time is over; the last status.
