A long body that comes at hardly any pace is ended after five seconds

What callers saw: beside uploads that send all but their last bytes, and then one now and then, nobody's request passed the gate beside the server (151 of 151 refused at its inbound port).

Cause: any byte within 5 s let an upload go on, and each holds a place at the gate until its deadline.

Change: under 4 KiB in 5 s of waiting for the sender end it. What waits for a slow server does not count.

--- a/src/sidecar/upstream_pool.cpp
+++ b/src/sidecar/upstream_pool.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <array>
 
+#include "progress_limit.h"
+
 namespace robinpin::sidecar {
 
 namespace {
@@ -14,7 +16,6 @@
 constexpr codec::Limits answer_limits = {64 * 1024, 64 * 1024 * 1024};
 constexpr int most_strangers = 4;
 constexpr int most_interim_answers = 16;  // before an answer
-constexpr auto stall_limit = 5s;          // no byte of a long body for so long ends it
 constexpr auto read_out_limit = 2s;       // for what is left of one that nobody wants any more
 }  // namespace
 
@@ -127,6 +128,7 @@
   Connection& from = *source->from;
   source->pouring = true;
   in_flight->source = source;
+  ProgressLimit progress;
   for (codec::reading got = from.in.whole() ? codec::reading::complete : codec::reading::unfinished;;) {
     p.whole = got == codec::reading::complete;
     const std::string_view body = from.in.body();
@@ -146,9 +148,10 @@
     from.in.pass_on();
     const auto since = steady::now();
     const auto before = from.in.came();
-    from.limit(since + stall_limit);
+    from.limit(since + progress.remaining(before));
     asio::error_code error;
     got = co_await from.more(error);
+    progress.on_waited(steady::now() - since);
     source->waited += steady::now() - since;
     from.no_limit();
     if (source->moved) source->moved(double(from.in.came() - before));
