Out of descriptors, a connection that has had its answer makes room for others

What callers saw: beside 250 connections that send calls one behind another to a sidecar's control port, 178 of 178 ordinary calls were refused in 20 s (whole bodies of heartbeats: 78 of 78).

Cause: who always has a next request never rests nor stalls, and kept its descriptor.

Change: for a second after a connection was refused, answers end their connections (Connection: close), at the small ports and at outbound.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -29,7 +29,7 @@
   if (full()) sweep();
   while (full() && (registry_->draining.reset_oldest() || close_accepted())) {
   }
-  if (full()) ++refused_;
+  if (full()) refuse();
   return !full();
 }
 
@@ -40,10 +40,15 @@
   while (accepted.size() >= most_accepted && close_accepted()) {
   }
   if (accepted.size() < most_accepted) return ensure_capacity();
-  ++refused_;
+  refuse();
   return false;
 }
 
+void Sockets::refuse() {
+  ++refused_;
+  refused_at_ = steady::now();
+}
+
 bool Sockets::close_accepted() {
   constexpr std::chrono::milliseconds pause_between_searches{10};
   const auto now = steady::now();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -52,6 +52,8 @@
   bool full() const { return open() >= most_; }
   int open() const { return int(registry_->connections.size() + registry_->draining.size()); }
   std::uint64_t refused() const { return refused_; }  // calls of these that found no room
+  // Connections were refused a moment ago: who has had an answer makes room for others.
+  bool is_crowded() const { return refused_ > 0 && steady::now() < refused_at_ + std::chrono::seconds(1); }
   // Bytes that have arrived at all connections and are not read yet. Asks the kernel for each of them.
   std::size_t unread_bytes() const;
   // Bytes that were written to all connections and that their peers have not acknowledged. Likewise.
@@ -79,8 +81,11 @@
   bool close_resting();
   bool close_stalled();
 
+  void refuse();
+
   int most_;
   std::uint64_t refused_ = 0;
+  steady::time_point refused_at_{};   // the last time
   steady::time_point next_search_{};  // for one to close: none was found a moment before
   const std::shared_ptr<Registry> registry_;
   std::vector<std::function<bool()>> evictors_;
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -139,7 +139,8 @@
     // elsewhere.
     const bool drops_pipelined =
         is_readable && reply.status == 503 && (request.behind() || !connection->still());
-    const bool keeps_connection = is_readable && !drops_pipelined && request.keep_alive();
+    const bool makes_room = sockets_.is_crowded();
+    const bool keeps_connection = is_readable && !drops_pipelined && !makes_room && request.keep_alive();
     if (!reserve_reply(*connection, reply)) reply = {503, R"({"fault":"no memory for the answer"})", {}, 0};
     connection->limit(node::steady::now() + write_timeout);
     std::size_t written = 0;
--- a/src/sidecar/client_connections.cpp
+++ b/src/sidecar/client_connections.cpp
@@ -78,7 +78,7 @@
     const bool rest = source && !c->in.whole();
     // What a client has sent behind this request already is answered, too, before a process ends.
     const bool last = ending_ && !c->in.behind() && c->still();
-    bool stays = read && !rest && c->in.keep_alive() && !last;
+    bool stays = read && !rest && c->in.keep_alive() && !last && !sockets_.is_crowded();
     const bool is_written = co_await write_answer(c, std::move(a), c->in.method() != "HEAD", stays);
     if (is_written && rest) co_await read_out(*c);
     if (is_written && !stays) co_await c->see_out(out_limit);
