Who is closed for want of memory gives its message back at once

What callers saw: beside bodies in pieces of one byte the core held 82 MB of 64.

Cause: a closed connection's share of the account was free for others at once, its buffer only when its coroutine ran again, behind whatever else was ready.

Change: a message that more is waited for, and that nobody looks at meanwhile, is dropped as its connection is closed.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -142,8 +142,9 @@
   return bytes;
 }
 
-// What it holds is freed as whoever uses it goes on.
+// What is used by others is freed as they go on; what nobody looks at while more is waited for, at once.
 void Connection::evict() {
+  if (is_receiving_) in.discard();
   memory_.release();
   send_memory_.release();
   if (answer_memory_) answer_memory_->release();
@@ -414,7 +415,9 @@
     co_return reading::unfinished;
   }
   const auto [at, size] = in.room();
+  is_receiving_ = true;
   const std::size_t came = co_await receive(at, size, error);
+  is_receiving_ = false;
   if (first) message_arrived_ = arrived_;
   if (!error) {
     const reading got = in.take(came);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -205,7 +205,7 @@
   steady::time_point phase_since_{};
   std::shared_ptr<Connection> streamed_from_;
   UnsentOnClose unsent_on_close_ = UnsentOnClose::left_to_kernel;
-  bool is_accepted_ = false, is_sending_bounded_ = false, receives_widely_ = false;
+  bool is_accepted_ = false, is_sending_bounded_ = false, receives_widely_ = false, is_receiving_ = false;
   asio::steady_timer timer_;
   std::uint64_t round_ = 0;
   bool counted_ = true, ran_out_ = false;
