--- a/tests/mesh/crowd_test.cpp
+++ b/tests/mesh/crowd_test.cpp
@@ -174,13 +174,12 @@
     const std::size_t memory = process.most.memory / megabyte, descriptors = process.most.descriptors;
     fmt::print("{}: at most {} MB ({} MB unsent, {} MB unowned), {} descriptors\n", process.name, memory,
                process.most.unsent / megabyte, process.most.unowned / megabyte, descriptors);
-    const int memory_mb = size_.memory_mb, file_limit = size_.file_limit;
 #ifndef ROBINPIN_SANITIZED  // the sanitizers' own memory is a multiple of the program's
-    expect(memory <= std::size_t(memory_mb),
-           fmt::format("{}: memory was {} MB of {}", process.name, memory, memory_mb));
+    expect(memory <= std::size_t(size_.memory_mb),
+           fmt::format("{}: memory was {} MB of {}", process.name, memory, size_.memory_mb));
 #endif
-    expect(descriptors <= std::size_t(file_limit),
-           fmt::format("{}: descriptors were {} of {}", process.name, descriptors, file_limit));
+    expect(descriptors <= std::size_t(size_.file_limit),
+           fmt::format("{}: descriptors were {} of {}", process.name, descriptors, size_.file_limit));
   }
 
   CrowdTarget target_at(Port port) {
