A search in vain for one to close stands for its own shortage alone

Cause: one time of the last search in vain for all kinds of shortage.

Change: one for each. The new test of MemoryBudget failed before (refused), and passes.

--- a/src/net/memory_budget.cpp
+++ b/src/net/memory_budget.cpp
@@ -74,12 +74,18 @@
          fits_beside_other_uses(change);
 }
 
-// The one whose bytes, times how long it has held them without progress, are most.
+std::size_t MemoryBudget::kind_of(const Shortage& shortage) {
+  if (shortage.share) return shortages - 1;
+  return shortage.use ? std::size_t(*shortage.use) : uses;
+}
+
 bool MemoryBudget::evict_one(const Shortage& shortage) {
   const auto now = steady::now();
-  if (now < next_eviction_) return false;
+  steady::time_point& next_eviction = next_eviction_[kind_of(shortage)];
+  if (now < next_eviction) return false;
   Consumer* victim = nullptr;
   double most = 0;
+  // The one whose bytes, times how long it has held them, are most.
   for (Consumer* consumer : consumers_) {
     const auto age = now - consumer->in_use_since();
     const std::size_t bytes = age < least_age_to_evict ? 0 : consumer->evictable_bytes(shortage);
@@ -89,7 +95,7 @@
     victim = consumer;
   }
   if (!victim) {
-    next_eviction_ = now + pause_between_walks;
+    next_eviction = now + pause_between_walks;
     return false;
   }
   ++evicted_;
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -30,7 +30,7 @@
   static constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
   // Messages up to that are `ordinary`.
   static constexpr std::size_t short_message_bytes = 16 * 1024;
-  // Nobody is closed who has held memory without progress for less.
+  // Nobody is closed who has held memory for less, or made progress since.
   static constexpr std::chrono::seconds least_age_to_evict{1};
 
   class Share;
@@ -47,7 +47,7 @@
     virtual ~Consumer() = default;
     // Bytes of what is short that evict() frees; 0: it must not be closed now.
     virtual std::size_t evictable_bytes(const Shortage& shortage) const = 0;
-    // Since when it has got no further.
+    // Since when it has held that: a reader of long answers, since its peer has last taken some of it.
     virtual steady::time_point in_use_since() const = 0;
     virtual void evict() = 0;
     // Gives back what it no longer needs.
@@ -140,8 +140,11 @@
   std::uint64_t refused_ = 0, evicted_ = 0, refused_by_share_ = 0;
   std::string last_refused_server_;
   Consumers consumers_;
-  // No consumer was found to close, or to give anything back, a moment before.
-  steady::time_point next_eviction_{}, next_reclaim_{};
+  static constexpr std::size_t shortages = uses + 2;  // of each use, of all of it, of a server's share
+  static std::size_t kind_of(const Shortage& shortage);
+  // By kind of shortage: no consumer to close was found a moment before.
+  std::array<steady::time_point, shortages> next_eviction_{};
+  steady::time_point next_reclaim_{};
 };
 
 }  // namespace robinpin::node
--- a/tests/mesh/memory_budget_test.cpp
+++ b/tests/mesh/memory_budget_test.cpp
@@ -185,3 +185,17 @@
   CHECK_EQUAL(700, peer.memory.bytes());
   CHECK_EQUAL(0, budget->refused() + budget->evicted());
 }
+
+// Guards against a search in vain that keeps others from finding who is in their way.
+TEST(MemoryBudget, who_is_closed_is_found_whatever_was_searched_for_in_vain_before) {
+  const auto budget = std::make_shared<MemoryBudget>(1'600);
+  const auto server = std::make_shared<MemoryBudget::Share>("server");
+  Peer uploading(budget, std::chrono::seconds(5));
+  CHECK(uploading.memory.resize(700, Use::partial_request));
+  Reservation answer(budget, server), other(budget);
+  CHECK(other.resize(10, Use::long_answer));
+  CHECK(answer.resize(440, Use::long_answer));
+  CHECK_FALSE(answer.resize(450, Use::long_answer));  // its share is taken, and nobody stalls at it
+  CHECK(other.resize(100, Use::long_answer));         // the upload is in the way of both uses together
+  CHECK_EQUAL(0, uploading.memory.bytes());
+}
