Connections take turns where a peer's next bytes are always there already

Cause: Connection::receive reads before it waits, and waits only when nothing is there. A peer that sends as fast as it is read kept its coroutine going, so all other connections, and the timer that limits this one, had no turn; likewise calls pipelined one behind another.

Change: after four reads and writes that had not to wait the coroutine goes to the end of the loop's queue; after a write, never between the check of a reply's time and its write.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -299,6 +299,16 @@
   co_return error;
 }
 
+// Others on this loop wait while a peer's next bytes are always there as the last have been dealt with.
+bool Connection::is_turn_over() {
+  constexpr int most_transfers = 4;
+  if (++transfers_ <= most_transfers) return false;
+  transfers_ = 0;
+  return true;
+}
+
+awaitable<void> Connection::yield() { co_await asio::post(socket.get_executor(), asio::use_awaitable); }
+
 awaitable<asio::error_code> Connection::write(std::string_view head, std::string_view body,
                                               std::size_t& written) {
   const Phase before = phase_;
@@ -312,6 +322,7 @@
     written = co_await asio::async_write(socket, parts, asio::redirect_error(asio::use_awaitable, error));
   }
   enter(before);
+  if (is_turn_over()) co_await yield();
   co_return error;
 }
 
@@ -377,6 +388,7 @@
 // A client's time runs from its sending, also while its bytes wait for a node that is busy or crowded; only
 // the kernel knows since when they have been waiting.
 awaitable<std::size_t> Connection::receive(char* to, std::size_t size, asio::error_code& error) {
+  if (is_turn_over()) co_await yield();
   for (;;) {
     iovec part{to, size};
     alignas(cmsghdr) std::array<char, 128> control{};
@@ -387,6 +399,7 @@
     m.msg_controllen = control.size();
     const auto n = ::recvmsg(socket.native_handle(), &m, MSG_DONTWAIT);
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+      transfers_ = 0;
       co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
       if (error) co_return 0;
       continue;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -188,6 +188,9 @@
   awaitable<asio::error_code> write_in_pieces(std::string_view head, std::string_view body,
                                               std::size_t& written);
   void drain();
+  // Counts a read or a write; true now and then if none had to wait: others on this loop are to go first.
+  bool is_turn_over();
+  awaitable<void> yield();
 
   enum class peeked { nothing, bytes, end };
   peeked peek() const;
@@ -203,6 +206,7 @@
   std::optional<std::list<Connection*>::iterator> accepted_;
   Phase phase_ = Phase::resting;
   steady::time_point phase_since_{};
+  int transfers_ = 0;  // reads and writes since one had to wait
   std::shared_ptr<Connection> streamed_from_;
   UnsentOnClose unsent_on_close_ = UnsentOnClose::left_to_kernel;
   bool is_accepted_ = false, is_sending_bounded_ = false, receives_widely_ = false, is_receiving_ = false;
--- a/tests/mesh/socket_buffers_test.cpp
+++ b/tests/mesh/socket_buffers_test.cpp
@@ -52,6 +52,14 @@
         },
         asio::detached);
   }
+  // The peer sends as much as the kernel takes; how much that was.
+  std::size_t send_all_the_kernel_takes() {
+    const std::string text(65'536, 'x');
+    peer_.non_blocking(true);
+    std::size_t all = 0;
+    for (asio::error_code full; !full;) all += peer_.write_some(asio::buffer(text), full);
+    return all;
+  }
   // What the peer reads until nothing comes for a while.
   std::size_t read_all() {
     std::array<char, 65'536> bytes{};
@@ -95,6 +103,19 @@
 
 TEST_GROUP(SocketBuffers){};
 
+// Guards against a peer that sends as fast as it is read, and everybody else waits for it to stop.
+TEST(SocketBuffers, others_have_a_turn_while_a_peer_has_more_to_be_read) {
+  Pair pair(10 * megabyte);
+  constexpr std::size_t most_at_a_turn = 32 * 1024;
+  CHECK(pair.send_all_the_kernel_takes() > 2 * most_at_a_turn);
+  std::size_t unread_then = 0;
+  asio::co_spawn(pair.io, pair.connection->see_out(20s), asio::detached);
+  asio::post(pair.io, [&] { unread_then = pair.connection->unread_bytes(); });
+  const std::size_t unread_before = pair.connection->unread_bytes();
+  CHECK(pair.run_until([&] { return unread_then > 0; }));
+  CHECK(unread_then + most_at_a_turn >= unread_before);
+}
+
 // Guards against megabytes that the kernel takes for a peer that reads nothing.
 TEST(SocketBuffers, what_waits_for_a_peer_is_bounded_narrowly_or_as_memory_is_reserved_for_it) {
   for (const bool has_memory : {false, true}) {
