While connections are refused, those that wait are accepted 32 at a time

Cause: one connection was accepted each round of the loop; an ordinary caller waited in the kernel's queue behind all that are refused.

Change: up to 32 are accepted at once, only while connections are refused, as a socket that processes share has to spread its connections otherwise.

--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::milliseconds close_timeout = 1s;
 constexpr std::chrono::milliseconds accept_pause = 20ms;  // while descriptors are short
 constexpr int accept_backlog = 512;
+constexpr int accepted_at_once = 32;  // while connections are refused
 
 std::int64_t now_in_microseconds() {
   const auto since_start = node::steady::now().time_since_epoch();
@@ -84,9 +85,29 @@
   }
 }
 
+namespace {
+
+// Null if there is no descriptor for it: closed unread, and the caller retries elsewhere.
+std::shared_ptr<Connection> accepted_connection(tcp::socket socket, Sockets& sockets, codec::Limits limits) {
+  if (!sockets.ensure_capacity_to_accept()) return nullptr;
+  asio::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  auto connection = std::make_shared<Connection>(std::move(socket), sockets, HTTP_REQUEST, limits);
+  connection->set_accepted();
+  connection->bound_sending(Connection::UnsentOnClose::drained);
+  return connection;
+}
+
+}  // namespace
+
 awaitable<void> accept(tcp::acceptor& acceptor, Sockets& sockets, codec::Limits limits,
                        std::function<awaitable<void>(std::shared_ptr<Connection>)> serve) {
+  const auto take = [&](tcp::socket socket) {
+    auto connection = accepted_connection(std::move(socket), sockets, limits);
+    if (connection) asio::co_spawn(acceptor.get_executor(), serve(std::move(connection)), node::log_failure);
+  };
   node::bound_buffers(acceptor);
+  acceptor.non_blocking(true);
   while (acceptor.is_open()) {
     asio::error_code error;
     tcp::socket socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
@@ -96,12 +117,13 @@
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
-    if (!sockets.ensure_capacity_to_accept()) continue;  // closed unread: the caller retries elsewhere
-    socket.set_option(tcp::no_delay(true), error);
-    auto connection = std::make_shared<Connection>(std::move(socket), sockets, HTTP_REQUEST, limits);
-    connection->set_accepted();
-    connection->bound_sending(Connection::UnsentOnClose::drained);
-    asio::co_spawn(acceptor.get_executor(), serve(std::move(connection)), node::log_failure);
+    take(std::move(socket));
+    // Ordinary callers wait behind those that are refused.
+    for (int n = 1; n < accepted_at_once && sockets.is_crowded(); ++n) {
+      tcp::socket next = acceptor.accept(error);
+      if (error) break;
+      take(std::move(next));
+    }
   }
 }
 
