Chunked bodies whose chunks carry next to nothing are malformed

Change: bytes of a chunked body that are not its content may be 64 KiB and twice its content; beyond, the message is malformed (400, or a spoilt answer). Chunks of three bytes and more never meet it, those of one byte after 21 KB of body. Bounds endless chunk extensions too.

--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -145,13 +145,26 @@
   return parse();
 }
 
+std::size_t Message::execute(std::size_t bytes) {
+  const bool is_body = head_done_;
+  const std::uint64_t came_before = came_;
+  const std::size_t read = http_parser_execute(&parser_, &callbacks(), buffer_.data() + parsed_, bytes);
+  if (is_body) framing_ += read - (came_ - came_before);
+  return read;
+}
+
+// Chunks of a byte or two without end cost many times the work of the body that they carry.
+bool Message::has_too_much_framing() const {
+  constexpr std::uint64_t always_allowed = 64 * 1024, allowed_for_a_byte = 2;
+  return framing_ > always_allowed + allowed_for_a_byte * came_;
+}
+
 reading Message::parse() {
   if (complete_) return reading::complete;
   if (failed_ != reading::unfinished) return failed_;
   const std::size_t n = end_ - parsed_;
   if (n == 0) return reading::unfinished;
-  const std::size_t read = http_parser_execute(&parser_, &callbacks(), buffer_.data() + parsed_, n);
-  parsed_ += read;
+  parsed_ += execute(n);
   if (complete_) {
     http_parser_pause(&parser_, 0);
     return reading::complete;
@@ -161,6 +174,7 @@
         HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW ? reading::head_too_long : reading::malformed;
   if (failed_ == reading::unfinished && !head_done_ && parsed_ > limits_.head)
     failed_ = reading::head_too_long;
+  if (failed_ == reading::unfinished && has_too_much_framing()) failed_ = reading::malformed;
   // Empty lines before a message are allowed, but not without end.
   if (failed_ == reading::unfinished && !begun_) {
     empty_lines_ += parsed_;
@@ -201,6 +215,7 @@
 void Message::forget() {
   target_ = body_ = reason_ = {};
   floor_ = empty_lines_ = 0;
+  framing_ = 0;
   length_ = no_length;
   came_ = 0;
   word_given_ = false;
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -101,6 +101,8 @@
   void join(S& span, const char* at, std::size_t size);
   void forget();
   reading parse();
+  std::size_t execute(std::size_t bytes);
+  bool has_too_much_framing() const;
   static const http_parser_settings& callbacks();
   static Message& of(http_parser* p) { return *static_cast<Message*>(p->data); }
 
@@ -111,6 +113,7 @@
   std::size_t parsed_ = 0, end_ = 0;
   std::size_t empty_lines_ = 0;  // bytes of them, dropped before the present message
   std::size_t floor_ = 0;        // where the body begins in the buffer
+  std::uint64_t framing_ = 0;    // bytes of chunk sizes, their line ends and trailers
   std::uint64_t length_ = no_length, came_ = 0;
   Span target_, body_, reason_;
   std::vector<std::pair<HeadSpan, HeadSpan>> headers_;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -43,6 +43,20 @@
   CHECK(m.header("T").empty());
 }
 
+// Guards against a sender that keeps a process busy with chunks that carry next to nothing.
+TEST_CASE("chunks of a few bytes are read, as long as the body is worth their number") {
+  constexpr std::size_t legal_body = 4 * 1024 * 1024;
+  const auto [chunk, chunks, expected] = GENERATE(table<std::string, int, reading>(
+      {{"1\r\nb\r\n", 10'000, reading::complete},
+       {"1\r\nb\r\n", 30'000, reading::malformed},
+       {"10\r\n0123456789abcdef\r\n", 200'000, reading::complete},
+       {"1;" + std::string(1'000, 'x') + "\r\nb\r\n", 100, reading::malformed}}));
+  std::string text = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int n = 0; n < chunks; ++n) text += chunk;
+  Message m(HTTP_REQUEST, {.head = 16 * 1024, .body = legal_body});
+  CHECK(feed(m, text + "0\r\n\r\n", 1000) == expected);
+}
+
 TEST_CASE("what comes behind a message is the next one") {
   const auto m = message("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
   CHECK(m->target() == "/a");
