Reading past an interim answer ends on any message that is too long

Found by reading: read_past() ended at malformed messages alone; one whose head or body is too long stays so at every further read, and the loop went on as long as the server sent. It ends on anything but unfinished and complete now.

--- a/src/sidecar/upstream_pool.cpp
+++ b/src/sidecar/upstream_pool.cpp
@@ -96,7 +96,9 @@
 awaitable<void> read_past(Connection& c, asio::error_code& error) {
   while (!error && !c.in.whole()) {
     c.in.pass_on();
-    if (co_await c.more(error) == codec::reading::malformed) error = asio::error::invalid_argument;
+    const codec::reading got = co_await c.more(error);
+    const bool goes_on = got == codec::reading::unfinished || got == codec::reading::complete;
+    if (!error && !goes_on) error = asio::error::invalid_argument;
   }
 }
 
