A kept answer whose server has closed meanwhile becomes an own 502

Found by reading: a streamed 5xx answer is kept while other servers are tried. If its connection has ended by the time it is passed on, its head went out and then a reset, though nothing of it had reached the client. The client hears a 502 of the node now.

--- a/src/sidecar/answer_stream.h
+++ b/src/sidecar/answer_stream.h
@@ -33,6 +33,8 @@
 
   // Bytes of body; none: it comes in chunks.
   std::optional<std::uint64_t> length() const { return from_->in.told(); }
+  // Whether its server's connection stands; that of an answer that waits while others are tried may end.
+  bool is_open() const { return from_->open(); }
   // Writes `head` and the body to `to`, in chunks where it says so. False: it broke off on either side, and
   // the connection must be aborted, so that its peer can tell.
   awaitable<bool> write_to(std::shared_ptr<Connection> to, std::string head, bool is_chunked);
--- a/src/sidecar/outbound_proxy.cpp
+++ b/src/sidecar/outbound_proxy.cpp
@@ -126,6 +126,7 @@
   const bool promises = f.status == 408 || f.status == 429 || f.status == 503;
   if (promises && t.channel->kind != configuration::mode::idempotent)
     return own(502, "the server has not said that it did not run it");
+  if (f.stream && !f.stream->is_open()) return own(502, "the answer has ended before it was passed on");
   return passed_on(f);
 }
 
