At least 32 connections, however little memory_mb allows

Found by reading: connections are as many as a third of memory_mb holds narrow kernel buffers for; a very low memory_mb gave a handful, of which a quarter is kept for servers. 32 at the least. The lowest that the settings allow was not run.

--- a/src/app/mesh_process.cpp
+++ b/src/app/mesh_process.cpp
@@ -187,8 +187,9 @@
 
 int MeshProcess::most_connections(int descriptors) const {
   constexpr std::size_t part_for_kernel_buffers = 3;  // of this process's memory, as a divisor
+  constexpr int least_connections = 32;
   const std::size_t bytes = std::size_t(settings.memory_mb) * bytes_per_megabyte / part_for_kernel_buffers;
-  return std::min(descriptors, int(bytes / node::SocketBuffers::narrow_total));
+  return std::min(descriptors, std::max(least_connections, int(bytes / node::SocketBuffers::narrow_total)));
 }
 
 ResourceUsage MeshProcess::memory_usage() const {
