Out of descriptors, a request that makes progress is not closed

Found by reading: a connection in the midst of a request counted as stalled a second after the request's beginning, also one whose upload came steadily or had come and waited for a slow server to take it. Stalled now is who is waited for and has sent less than 1 KiB since a second ago. Connection::unsent_bytes() takes the place of two casts. Groups Sidecar, SocketBuffers, MemoryBudget, Rpc pass; no test of its own.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -66,8 +66,7 @@
 
 std::size_t Sockets::unsent_bytes() const {
   std::size_t bytes = 0;
-  for (const Connection* connection : registry_->connections)
-    bytes += node::unsent_bytes(const_cast<Connection*>(connection)->socket.native_handle());
+  for (const Connection* connection : registry_->connections) bytes += connection->unsent_bytes();
   return bytes;
 }
 
@@ -128,10 +127,21 @@
   return phase_ == Phase::resting && receives_widely_ && rests();
 }
 
+// Not while a message that has come is passed on to a slow server.
 std::optional<steady::time_point> Connection::stalled_since() const {
-  const bool is_underway = phase_ == Phase::reading || phase_ == Phase::writing;
-  const bool is_stalled = is_underway && steady::now() - phase_since_ >= MemoryBudget::least_age_to_evict;
-  return is_stalled ? std::optional(phase_since_) : std::nullopt;
+  const bool is_reading = phase_ == Phase::reading && is_receiving_;
+  if (!is_reading && phase_ != Phase::writing) return std::nullopt;
+  const steady::time_point since = is_reading ? received_since_ : phase_since_;
+  const bool is_stalled = steady::now() - since >= MemoryBudget::least_age_to_evict;
+  return is_stalled ? std::optional(since) : std::nullopt;
+}
+
+void Connection::note_received(std::size_t bytes) {
+  constexpr std::size_t least_progress = 1024;
+  received_ += bytes;
+  if (received_ < least_progress) return;
+  received_ = 0;
+  received_since_ = steady::now();
 }
 
 std::size_t Connection::evictable_bytes(const MemoryBudget::Shortage& shortage) const {
@@ -157,7 +167,7 @@
 
 void Connection::reclaim() {
   if (send_memory_.bytes() == 0 || phase_ == Phase::writing || !open()) return;
-  if (unsent_bytes(socket.native_handle()) > SocketBuffers::narrow_send) return;
+  if (unsent_bytes() > SocketBuffers::narrow_send) return;
   bound_send_buffer(socket.native_handle(), SocketBuffers::narrow_send);
   send_memory_.release();
 }
@@ -165,7 +175,8 @@
 void Connection::enter(Phase phase) {
   if (phase_ == phase) return;
   phase_ = phase;
-  phase_since_ = steady::now();
+  phase_since_ = received_since_ = steady::now();
+  received_ = 0;
 }
 
 MemoryBudget::Use Connection::memory_use(std::size_t footprint) const {
@@ -220,8 +231,7 @@
 
 void Connection::close() {
   no_limit();
-  const bool is_unsent =
-      open() && unsent_on_close_ != UnsentOnClose::left_to_kernel && unsent_bytes(socket.native_handle()) > 0;
+  const bool is_unsent = open() && unsent_on_close_ != UnsentOnClose::left_to_kernel && unsent_bytes() > 0;
   asio::error_code ignored;
   if (is_unsent && unsent_on_close_ == UnsentOnClose::dropped)
     socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -270,8 +280,7 @@
 Connection::peeked Connection::peek() const {
   if (!open()) return peeked::end;
   char byte = 0;
-  const int handle = const_cast<tcp::socket&>(socket).native_handle();
-  const auto n = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const auto n = ::recv(handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   if (n > 0) return peeked::bytes;
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) ? peeked::nothing : peeked::end;
 }
@@ -286,6 +295,10 @@
   return unknown ? 0 : bytes;
 }
 
+std::size_t Connection::unsent_bytes() const { return open() ? node::unsent_bytes(handle()) : 0; }
+
+int Connection::handle() const { return const_cast<tcp::socket&>(socket).native_handle(); }
+
 awaitable<asio::error_code> Connection::connect(tcp::endpoint to) {
   asio::error_code error;
   const auto begun = steady::now();
@@ -431,6 +444,7 @@
   is_receiving_ = true;
   const std::size_t came = co_await receive(at, size, error);
   is_receiving_ = false;
+  note_received(came);
   if (first) message_arrived_ = arrived_;
   if (!error) {
     const reading got = in.take(came);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -117,8 +117,9 @@
   // Whether the peer has neither sent anything nor closed: only then an idle connection is of use.
   bool quiet() const;
   bool peer_gone();
-  std::size_t unread_bytes() const;                                   // have arrived, as the kernel tells
-  bool still();                                                       // nothing to read, and not closed
+  std::size_t unread_bytes() const;  // have arrived, as the kernel tells
+  std::size_t unsent_bytes() const;  // were written, and the peer has not acknowledged them; likewise
+  bool still();                      // nothing to read, and not closed
   bool rests() const { return phase_ == Phase::resting && quiet(); }  // between requests, or before the first
   // Since when it has got no further in the midst of a message, if it may be closed for that.
   std::optional<steady::time_point> stalled_since() const;
@@ -191,6 +192,8 @@
   // Counts a read or a write; true now and then if none had to wait: others on this loop are to go first.
   bool is_turn_over();
   awaitable<void> yield();
+  void note_received(std::size_t bytes);
+  int handle() const;
 
   enum class peeked { nothing, bytes, end };
   peeked peek() const;
@@ -205,8 +208,10 @@
   std::list<Connection*>::iterator connection_;
   std::optional<std::list<Connection*>::iterator> accepted_;
   Phase phase_ = Phase::resting;
-  steady::time_point phase_since_{};
-  int transfers_ = 0;  // reads and writes since one had to wait
+  steady::time_point phase_since_{};     // or, while it writes, since its peer has last taken something
+  steady::time_point received_since_{};  // since when hardly anything has come
+  std::size_t received_ = 0;             // bytes since then
+  int transfers_ = 0;                    // reads and writes since one had to wait
   std::shared_ptr<Connection> streamed_from_;
   UnsentOnClose unsent_on_close_ = UnsentOnClose::left_to_kernel;
   bool is_accepted_ = false, is_sending_bounded_ = false, receives_widely_ = false, is_receiving_ = false;
