Connections are accepted 32 at a time, whether one was refused or not

Seen: outbound_pipelined_unread_2000_220 was answered after 9, 13 and 16 s of 20.

Cause: newcomers find room there because somebody stalled is closed for them; none is refused, so they were still accepted one each round of the loop.

Change: 32 at a time at any time: these acceptors are of one process only. Names of the earlier style in this file go with it.

--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -13,9 +13,9 @@
 constexpr std::chrono::milliseconds idle_timeout = 30s;
 constexpr std::chrono::milliseconds write_timeout = 3s;
 constexpr std::chrono::milliseconds close_timeout = 1s;
-constexpr std::chrono::milliseconds accept_pause = 20ms;  // while descriptors are short
+constexpr std::chrono::milliseconds accept_retry_delay = 20ms;  // while descriptors are short
 constexpr int accept_backlog = 512;
-constexpr int accepted_at_once = 32;  // while connections are refused
+constexpr int accepted_at_once = 32;
 
 std::int64_t now_in_microseconds() {
   const auto since_start = node::steady::now().time_since_epoch();
@@ -37,7 +37,7 @@
                      keeps_connection ? "" : "Connection: close\r\n");
 }
 
-bool may_read_on(codec::reading reading) {
+bool can_read_on(codec::reading reading) {
   return reading == codec::reading::unfinished || reading == codec::reading::complete;
 }
 }  // namespace
@@ -113,13 +113,13 @@
     tcp::socket socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
     if (error == asio::error::operation_aborted || !acceptor.is_open()) co_return;
     if (error) {
-      asio::steady_timer pause(acceptor.get_executor(), accept_pause);
-      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      asio::steady_timer delay(acceptor.get_executor(), accept_retry_delay);
+      co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
     take(std::move(socket));
-    // Ordinary callers wait behind those that are refused.
-    for (int n = 1; n < accepted_at_once && sockets.is_crowded(); ++n) {
+    // Ordinary callers wait behind a crowd.
+    for (int n = 1; n < accepted_at_once; ++n) {
       tcp::socket next = acceptor.accept(error);
       if (error) break;
       take(std::move(next));
@@ -145,7 +145,7 @@
     connection->limit(node::steady::now() + (request.begun() ? head_timeout : idle_timeout));
     asio::error_code error;
     const codec::reading reading =
-        request.whole() ? codec::reading::complete : co_await connection->read(error);
+        request.is_complete() ? codec::reading::complete : co_await connection->read(error);
     if (error || reading == codec::reading::unfinished) co_return;
     const bool is_readable = reading == codec::reading::complete;
     // Such a request waited here while this process or the network stood still, and its caller has retried it
@@ -161,15 +161,15 @@
     // elsewhere.
     const bool drops_pipelined =
         is_readable && reply.status == 503 && (request.behind() || !connection->still());
-    const bool makes_room = sockets_.is_crowded();
-    const bool keeps_connection = is_readable && !drops_pipelined && !makes_room && request.keep_alive();
+    const bool makes_way = sockets_.is_crowded();
+    const bool keeps_connection = is_readable && !drops_pipelined && !makes_way && request.keep_alive();
     if (!reserve_reply(*connection, reply)) reply = {503, R"({"fault":"no memory for the answer"})", {}, 0};
     connection->limit(node::steady::now() + write_timeout);
     std::size_t written = 0;
     const std::string head = head_of(reply, keeps_connection);
     error = co_await connection->write(head, reply.text(), written);
     if (!error && (!is_readable || drops_pipelined)) co_await connection->see_out(close_timeout);
-    if (error || !keeps_connection || !may_read_on(request.next())) co_return;
+    if (error || !keeps_connection || !can_read_on(request.next())) co_return;
   }
 }
 
