Standard names in http.h, connection, answer_stream and memory_budget

Message::is_complete, content_length, expects_continue; records of a send buffer in place of pieces, chunks of a streamed answer; divisors in the budget.

--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -82,14 +82,14 @@
       Message& m = of(p);
       m.head_done_ = true;
       if (p->http_major != 1) m.failed_ = reading::malformed;
-      const bool told = p->content_length != ULLONG_MAX;
+      const bool has_length = p->content_length != ULLONG_MAX;
       // Without a length, and kept open all the same, it would never end: its head is spoilt.
       const bool bare = p->status_code < 200 || p->status_code == 204 || p->status_code == 304;
-      if (p->type == HTTP_RESPONSE && !told && !bare && (p->flags & (F_CHUNKED | F_CONNECTION_CLOSE)) == 0 &&
-          p->http_minor > 0)
+      if (p->type == HTTP_RESPONSE && !has_length && !bare &&
+          (p->flags & (F_CHUNKED | F_CONNECTION_CLOSE)) == 0 && p->http_minor > 0)
         m.failed_ = reading::malformed;
-      m.length_ = told ? p->content_length : no_length;
-      if (told && p->content_length > m.limits_.body) m.failed_ = reading::body_too_long;
+      m.length_ = has_length ? p->content_length : no_length;
+      if (has_length && p->content_length > m.limits_.body) m.failed_ = reading::body_too_long;
       return m.failed_ == reading::unfinished ? 0 : -1;
     };
     s.on_body = [](http_parser* p, const char* at, std::size_t n) {
@@ -129,9 +129,9 @@
   if (buffer_.size() - end_ >= first_size / 2) return buffer_.size();
   // A body whose length was told needs no more than that: doubling would keep half of each buffer empty.
   // But a long one is believed only as far as it has come.
-  const bool told = head_done_ && parser_.content_length <= limits_.body;
+  const bool has_length = head_done_ && parser_.content_length <= limits_.body;
   const std::size_t whole =
-      told ? end_ + std::size_t(parser_.content_length) + first_size / 2 : 2 * buffer_.size();
+      has_length ? end_ + std::size_t(parser_.content_length) + first_size / 2 : 2 * buffer_.size();
   return std::max(first_size, std::min(whole, std::max(believed, 2 * buffer_.size())));
 }
 
@@ -204,12 +204,12 @@
   body_.size = 0;
 }
 
-bool Message::wants_word() {
-  if (parser_.type != HTTP_REQUEST || word_given_ || !head_done_ || complete_ || came_ > 0 || behind() ||
-      parser_.http_minor == 0)
+bool Message::expects_continue() {
+  if (parser_.type != HTTP_REQUEST || was_continue_sent_ || !head_done_ || complete_ || came_ > 0 ||
+      behind() || parser_.http_minor == 0)
     return false;
-  word_given_ = same_name(header("Expect"), "100-continue");
-  return word_given_;
+  was_continue_sent_ = same_name(header("Expect"), "100-continue");
+  return was_continue_sent_;
 }
 
 void Message::forget() {
@@ -218,7 +218,7 @@
   framing_ = 0;
   length_ = no_length;
   came_ = 0;
-  word_given_ = false;
+  was_continue_sent_ = false;
   headers_.clear();
   begun_ = in_value_ = head_done_ = complete_ = keep_alive_ = false;
 }
@@ -267,8 +267,8 @@
     const auto [name, value] = header(i);
     if (name.empty() || !all(name, in_name) || !all(value, printed)) return false;
   }
-  const auto told = header("Content-Length");
-  if (times("Content-Length") > 0 && whole_number(told) < 0) return false;
+  const auto length = header("Content-Length");
+  if (times("Content-Length") > 0 && whole_number(length) < 0) return false;
   return all(target(), visible);
 }
 
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -47,19 +47,19 @@
 
   // The head is whole and its body more than that, as told or as it has come.
   bool longer_than(std::size_t kept) const {
-    return head_done_ && !complete_ && (body_.size > kept || (told() && *told() > kept));
+    return head_done_ && !complete_ && (body_.size > kept || (content_length() && *content_length() > kept));
   }
-  std::optional<std::uint64_t> told() const {  // the body's length
+  std::optional<std::uint64_t> content_length() const {  // the body's length
     return head_done_ && length_ != no_length ? std::optional(length_) : std::nullopt;
   }
-  bool whole() const { return complete_; }
+  bool is_complete() const { return complete_; }
   // Its body has no told length and is not whole: how long it will be nobody knows.
-  bool open_ended() const { return head_done_ && !complete_ && !told(); }
+  bool open_ended() const { return head_done_ && !complete_ && !content_length(); }
   std::uint64_t came() const { return came_; }  // of the body, what was passed on too
   // Drops what has come of the body: its reader has passed it on, and the room is used again.
   void pass_on();
   // Once a message, if its sender waits to be told to go on with the body.
-  bool wants_word();
+  bool expects_continue();
 
   bool begun() const { return begun_; }           // of the present message anything has come
   bool behind() const { return end_ > parsed_; }  // bytes of a next one have come
@@ -118,7 +118,7 @@
   Span target_, body_, reason_;
   std::vector<std::pair<HeadSpan, HeadSpan>> headers_;
   bool begun_ = false, in_value_ = false, head_done_ = false, complete_ = false, keep_alive_ = false,
-       word_given_ = false;
+       was_continue_sent_ = false;
   reading failed_ = reading::unfinished;
 };
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -34,9 +34,9 @@
 }
 
 bool Sockets::ensure_capacity_to_accept() {
-  constexpr int spared_part = 4;
+  constexpr int spared_divisor = 4;
   const auto& accepted = registry_->accepted;
-  const std::size_t most_accepted = std::size_t(std::max(1, most_ - most_ / spared_part));
+  const std::size_t most_accepted = std::size_t(std::max(1, most_ - most_ / spared_divisor));
   while (accepted.size() >= most_accepted && close_accepted()) {
   }
   if (accepted.size() < most_accepted) return ensure_capacity();
@@ -50,11 +50,11 @@
 }
 
 bool Sockets::close_accepted() {
-  constexpr std::chrono::milliseconds pause_between_searches{10};
+  constexpr std::chrono::milliseconds search_interval{10};
   const auto now = steady::now();
   if (now < next_search_) return false;
   if (close_resting() || close_stalled()) return true;
-  next_search_ = now + pause_between_searches;
+  next_search_ = now + search_interval;
   return false;
 }
 
@@ -195,7 +195,7 @@
 
 // For a long message. Without memory for it the message comes through a narrow buffer, no less whole.
 void Connection::widen_receiving(std::size_t footprint) {
-  if (!is_accepted_ || receives_widely_ || !in.begun() || in.whole()) return;
+  if (!is_accepted_ || receives_widely_ || !in.begun() || in.is_complete()) return;
   if (footprint <= SocketBuffers::narrow_receive && !in.longer_than(SocketBuffers::narrow_receive)) return;
   if (!memory_.resize_if_free(footprint + SocketBuffers::wide_receive, memory_use(footprint))) return;
   receives_widely_ = true;
@@ -203,7 +203,7 @@
 }
 
 void Connection::widen_sending() {
-  constexpr std::size_t bytes = SocketBuffers::wide_send + SocketBuffers::wide_piece;
+  constexpr std::size_t bytes = SocketBuffers::wide_send + SocketBuffers::wide_record;
   const auto use = is_peers_request_ ? MemoryBudget::Use::long_answer : MemoryBudget::Use::partial_request;
   if (send_memory_.bytes() > 0 || !send_memory_.resize_if_free(bytes, use)) return;
   bound_send_buffer(socket.native_handle(), SocketBuffers::wide_send);
@@ -224,7 +224,7 @@
 void Connection::record_memory() {
   if (!open()) return memory_.release();
   const std::size_t footprint = in.footprint();
-  const bool is_whole_request = is_peers_request_ && (!in.begun() || in.whole());
+  const bool is_whole_request = is_peers_request_ && (!in.begun() || in.is_complete());
   memory_.record(footprint + unread_allowance(footprint),
                  is_whole_request ? MemoryBudget::Use::ordinary : memory_use(footprint));
 }
@@ -264,16 +264,16 @@
 void Connection::limit(steady::time_point at) {
   limit_ = at;
   timer_.expires_at(at);
-  timer_.async_wait([weak = weak_from_this(), round = ++round_](asio::error_code cancelled) {
+  timer_.async_wait([weak = weak_from_this(), generation = ++timer_generation_](asio::error_code cancelled) {
     const auto self = weak.lock();
-    if (cancelled || !self || self->round_ != round) return;
+    if (cancelled || !self || self->timer_generation_ != generation) return;
     self->ran_out_ = true;
     self->close();
   });
 }
 
 void Connection::no_limit() {
-  ++round_;
+  ++timer_generation_;
   timer_.cancel();
 }
 
@@ -328,7 +328,7 @@
   enter(Phase::writing);
   asio::error_code error;
   if (is_sending_bounded_) {
-    error = co_await write_in_pieces(head, body, written);
+    error = co_await write_in_records(head, body, written);
   } else {
     const std::array<asio::const_buffer, 2> parts = {asio::buffer(head.data(), head.size()),
                                                      asio::buffer(body.data(), body.size())};
@@ -343,8 +343,8 @@
 
 // Writes the beginning of what is left of both, `most` bytes of it; how much the kernel took. As a record of
 // its own: to one that it has the kernel would add beyond the bound of its buffer.
-std::size_t send_piece(int socket, std::string_view head, std::string_view body, std::size_t most,
-                       asio::error_code& error) {
+std::size_t send_record(int socket, std::string_view head, std::string_view body, std::size_t most,
+                        asio::error_code& error) {
   head = head.substr(0, most);
   body = body.substr(0, most - head.size());
   std::array<iovec, 2> parts = {iovec{const_cast<char*>(head.data()), head.size()},
@@ -365,18 +365,18 @@
 
 }  // namespace
 
-awaitable<asio::error_code> Connection::write_in_pieces(std::string_view head, std::string_view body,
-                                                        std::size_t& written) {
+awaitable<asio::error_code> Connection::write_in_records(std::string_view head, std::string_view body,
+                                                         std::size_t& written) {
   const std::size_t total = head.size() + body.size();
   if (total > SocketBuffers::narrow_send) widen_sending();
   for (written = 0; written < total;) {
     if (!open()) co_return asio::error::operation_aborted;
-    const std::size_t piece =
-        send_memory_.bytes() > 0 ? SocketBuffers::wide_piece : SocketBuffers::narrow_piece;
+    const std::size_t most =
+        send_memory_.bytes() > 0 ? SocketBuffers::wide_record : SocketBuffers::narrow_record;
     const std::string_view rest_of_head = head.substr(std::min(written, head.size()));
     const std::string_view rest_of_body = body.substr(written > head.size() ? written - head.size() : 0);
     asio::error_code error;
-    const std::size_t taken = send_piece(socket.native_handle(), rest_of_head, rest_of_body, piece, error);
+    const std::size_t taken = send_record(socket.native_handle(), rest_of_head, rest_of_body, most, error);
     if (taken > 0) phase_since_ = steady::now();
     written += taken;
     if (!error) continue;
@@ -449,7 +449,7 @@
   if (!error) {
     const reading got = in.take(came);
     record_memory();
-    enter(in.whole() ? Phase::working : Phase::reading);
+    enter(in.is_complete() ? Phase::working : Phase::reading);
     co_return got;
   }
   const bool whole = error == asio::error::eof && in.begun() && in.ended() == reading::complete;
@@ -469,7 +469,7 @@
   answer_memory_.reset();
   reclaim();
   record_memory();
-  enter(!in.begun() ? Phase::resting : in.whole() ? Phase::working : Phase::reading);
+  enter(!in.begun() ? Phase::resting : in.is_complete() ? Phase::working : Phase::reading);
   return behind;
 }
 
@@ -512,7 +512,7 @@
       counted = in.came();
     }
     std::size_t written = 0;
-    if (in.wants_word()) error = co_await write(word, {}, written);
+    if (in.expects_continue()) error = co_await write(word, {}, written);
     if (error) co_return reading::unfinished;
   }
   co_return reading::longer;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -186,8 +186,8 @@
   std::size_t unread_allowance(std::size_t footprint) const;
   void widen_receiving(std::size_t footprint);
   void widen_sending();
-  awaitable<asio::error_code> write_in_pieces(std::string_view head, std::string_view body,
-                                              std::size_t& written);
+  awaitable<asio::error_code> write_in_records(std::string_view head, std::string_view body,
+                                               std::size_t& written);
   void drain();
   // Counts a read or a write; true now and then if none had to wait: others on this loop are to go first.
   bool is_turn_over();
@@ -216,7 +216,7 @@
   UnsentOnClose unsent_on_close_ = UnsentOnClose::left_to_kernel;
   bool is_accepted_ = false, is_sending_bounded_ = false, receives_widely_ = false, is_receiving_ = false;
   asio::steady_timer timer_;
-  std::uint64_t round_ = 0;
+  std::uint64_t timer_generation_ = 0;
   bool counted_ = true, ran_out_ = false;
   steady::time_point arrived_{}, message_arrived_{}, limit_{};
   steady::duration round_trip_{};
--- a/src/net/memory_budget.cpp
+++ b/src/net/memory_budget.cpp
@@ -7,12 +7,12 @@
 namespace {
 
 // Parts of the budget, as divisors.
-constexpr std::size_t partial_request_part = 2;
-constexpr std::size_t spared_by_long_answers_part = 4;
-constexpr std::size_t spared_by_single_answer_part = 8;
-constexpr std::size_t least_share_part = 16;
-constexpr std::size_t spared_for_ordinary_part = 4;
-constexpr std::size_t request_part = 128;
+constexpr std::size_t partial_request_divisor = 2;
+constexpr std::size_t spared_by_long_answers_divisor = 4;
+constexpr std::size_t spared_by_single_answer_divisor = 8;
+constexpr std::size_t least_share_divisor = 16;
+constexpr std::size_t spared_for_ordinary_divisor = 4;
+constexpr std::size_t request_divisor = 128;
 
 // A walk over all consumers that was of no use is not repeated sooner.
 constexpr std::chrono::milliseconds pause_between_walks{10};
@@ -22,17 +22,17 @@
 std::size_t MemoryBudget::limit_of(Use use) const {
   switch (use) {
     case Use::partial_request:
-      return limit_ / partial_request_part;
+      return limit_ / partial_request_divisor;
     case Use::long_answer:
-      return limit_ - limit_ / spared_by_long_answers_part;
+      return limit_ - limit_ / spared_by_long_answers_divisor;
     case Use::ordinary:
       break;
   }
   return limit_;
 }
 
-bool MemoryBudget::make_room_for_request() {
-  const auto has_room = [this] { return limit_ - std::min(limit_, in_use_) >= limit_ / request_part; };
+bool MemoryBudget::ensure_capacity_for_request() {
+  const auto has_room = [this] { return limit_ - std::min(limit_, in_use_) >= limit_ / request_divisor; };
   if (!has_room()) reclaim_all();
   while (!has_room())
     if (!evict_one({})) return false;
@@ -55,18 +55,18 @@
   const std::size_t held =
       by_use_[std::size_t(Use::partial_request)] + by_use_[std::size_t(Use::long_answer)];
   const std::size_t of_others = held - own;
-  return of_others == 0 || of_others + change.to <= limit_ - limit_ / spared_for_ordinary_part;
+  return of_others == 0 || of_others + change.to <= limit_ - limit_ / spared_for_ordinary_divisor;
 }
 
 bool MemoryBudget::fits_in_share(const Change& change, const Share& share) const {
   const std::size_t more = change.to - change.from;
   const std::size_t share_after = share.bytes_ + more;
-  if (share_after <= limit_ / least_share_part) return true;
+  if (share_after <= limit_ / least_share_divisor) return true;
   const std::size_t long_answers = by_use_[std::size_t(Use::long_answer)];
   const bool is_single =
       share.bytes_ == change.from && long_answers == (change.from_use == Use::long_answer ? change.from : 0);
   const std::size_t free_after = limit_ - std::min(limit_, in_use_ + more);
-  return free_after >= (is_single ? limit_ / spared_by_single_answer_part : share_after);
+  return free_after >= (is_single ? limit_ / spared_by_single_answer_divisor : share_after);
 }
 
 bool MemoryBudget::fits(const Change& change, const Share* share) const {
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -114,7 +114,7 @@
   std::uint64_t refused_by_share() const { return refused_by_share_; }
   const std::string& last_refused_server() const { return last_refused_server_; }
   // Whether a further request may be begun: its answer needs room, too. Closes others for it.
-  bool make_room_for_request();
+  bool ensure_capacity_for_request();
 
  private:
   struct Change {
--- a/src/net/socket_buffers.cpp
+++ b/src/net/socket_buffers.cpp
@@ -14,8 +14,8 @@
   ::setsockopt(socket, level, name, &value, sizeof value);
 }
 
-// The kernel doubles what it is told, for its own overhead.
-int told(std::size_t bytes) { return int(bytes / 2); }
+// The kernel doubles what is set, for its own overhead.
+int option_value(std::size_t bytes) { return int(bytes / 2); }
 
 }  // namespace
 
@@ -23,17 +23,17 @@
   // Segments have to be well below the window that this leaves: on loopback they would be longer, and a
   // sender waits for a timer where none fits in.
   constexpr std::size_t segments = 8;
-  set_option(socket, SOL_SOCKET, SO_RCVBUF, told(bytes));
+  set_option(socket, SOL_SOCKET, SO_RCVBUF, option_value(bytes));
   set_option(socket, IPPROTO_TCP, TCP_MAXSEG, int(bytes / segments));
 }
 
 void widen_receive_buffer(int socket) {
-  set_option(socket, SOL_SOCKET, SO_RCVBUF, told(SocketBuffers::wide_receive));
+  set_option(socket, SOL_SOCKET, SO_RCVBUF, option_value(SocketBuffers::wide_receive));
   set_option(socket, IPPROTO_TCP, TCP_WINDOW_CLAMP, int(SocketBuffers::wide_receive));
 }
 
 void bound_send_buffer(int socket, std::size_t bytes) {
-  set_option(socket, SOL_SOCKET, SO_SNDBUF, told(bytes));
+  set_option(socket, SOL_SOCKET, SO_SNDBUF, option_value(bytes));
 }
 
 std::size_t unsent_bytes(int socket) {
--- a/src/net/socket_buffers.h
+++ b/src/net/socket_buffers.h
@@ -17,10 +17,10 @@
   // Of answers to a process's own requests.
   static constexpr std::size_t answer_receive = 128 * 1024;
   // Of what is passed to the kernel in one call: if it has any room left it takes all of it.
-  static constexpr std::size_t narrow_piece = 8 * 1024;
-  static constexpr std::size_t wide_piece = 16 * 1024;
+  static constexpr std::size_t narrow_record = 8 * 1024;
+  static constexpr std::size_t wide_record = 16 * 1024;
   // What the kernel may hold of one connection in both directions while both are narrow.
-  static constexpr std::size_t narrow_total = narrow_receive + narrow_send + narrow_piece;
+  static constexpr std::size_t narrow_total = narrow_receive + narrow_send + narrow_record;
 };
 
 // To be called before a socket listens or connects. What is accepted there inherits the bound.
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -328,7 +328,7 @@
   ++counters_.health_calls;
   const std::string_view target = c->in.target();
   constexpr std::string_view plain = "Content-Type: text/plain\r\n";
-  if (c->in.method() != "GET" || !c->in.whole()) co_return co_await turn_down(c, s, 405, "only GET");
+  if (c->in.method() != "GET" || !c->in.is_complete()) co_return co_await turn_down(c, s, 405, "only GET");
   if (target == "/config")
     co_return co_await answer(c, 200, "Content-Type: application/json\r\n", routes_.told());
   if (target == "/health/live") co_return co_await answer(c, 200, plain, "live\n");
@@ -343,7 +343,7 @@
   if (desk_.knows(asked.id)) co_return co_await turn_down(c, s, 409, "Request-Id is in use");
   limits::Taken route =
       routes_.take({asked.scheme, asked.tenant, c->in.method(), c->in.target()}, clock_.now());
-  const bool longer = !c->in.whole();
+  const bool longer = !c->in.is_complete();
   if (longer) {
     asked.outbound->source = c;
     asked.said.coming = true;
@@ -371,7 +371,7 @@
   asio::error_code ignored;
   if (c->open()) c->socket.cancel(ignored);  // the watch, or the reading of a long body
   const auto give = [&](int status, std::string_view headers, std::string_view body) {
-    return c->in.whole() ? answer(c, status, headers, body) : answer_last(c, s, status, headers, body);
+    return c->in.is_complete() ? answer(c, status, headers, body) : answer_last(c, s, status, headers, body);
   };
   Ended& ended = counters_.ended(asked.scheme);
   switch (order.next) {
@@ -403,7 +403,7 @@
 // the transfer, and then the client can tell that it is not whole.
 awaitable<bool> Clients::relay(connection c, Call& call, int scheme) {
   const auto from = call.connection;
-  const auto told = from->in.told();
+  const auto told = from->in.content_length();
   const bool old = c->in.minor() == 0, framed = !told && !old, stay = stays(*c) && !(old && !told);
   asio::error_code error;
   c->socket.set_option(asio::socket_base::send_buffer_size(send_buffer), error);
@@ -464,8 +464,8 @@
                                  std::shared_ptr<const Outbound> outbound) {
   if (outbound->source)
     call->moved = [this, c, v] {
-      desk_.still_coming(v, c->in.whole());
-      if (c->in.whole()) watch(c, [this, v] { desk_.leave(v); });
+      desk_.still_coming(v, c->in.is_complete());
+      if (c->in.is_complete()) watch(c, [this, v] { desk_.leave(v); });
     };
   try {
     const micros until = order.wait > 0 ? std::min(v->expiry, clock_.now() + order.wait) : v->expiry;
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -175,7 +175,7 @@
       fmt::format("{}{}Request-Timeout-Ms: {}\r\n", outbound.start, outbound.headers, left / 1000);
   micros sent = 0;
   if (outbound.source) {
-    const auto told = outbound.source->in.told();
+    const auto told = outbound.source->in.content_length();
     const std::string head = told ? fmt::format("{}Content-Length: {}\r\n\r\n", start, *told)
                                   : start + "Transfer-Encoding: chunked\r\n\r\n";
     if (co_await send_long(call, outbound, head, left)) co_return;
@@ -254,7 +254,7 @@
 awaitable<asio::error_code> Servers::send_long(Call& call, const Outbound& outbound, std::string_view head,
                                                micros left) {
   Connection &c = *call.connection, &from = *outbound.source;
-  const bool framed = !from.in.told();
+  const bool framed = !from.in.content_length();
   // A server that answers before it has all has not begun: no more is sent to it.
   struct Watch {
     bool early = false, over = false;
@@ -339,7 +339,7 @@
   if (m.status() == 200) {
     a.how = ending::settled;
     a.type = m.header("Content-Type");
-    if (m.whole()) a.body = m.body();
+    if (m.is_complete()) a.body = m.body();
   } else {
     const bool never_ran = (m.status() == 503 || m.status() == 504) && m.header("Not-Started") == "1";
     a.how = never_ran ? ending::refused : ending::error;
--- a/src/sidecar/client_connections.cpp
+++ b/src/sidecar/client_connections.cpp
@@ -45,7 +45,7 @@
     c->limit(steady::now() + std::chrono::microseconds(plan_->bounds.header));
     asio::error_code error;
     const codec::reading got =
-        c->in.whole() ? codec::reading::complete : co_await c->read(error, Source::kept, pace);
+        c->in.is_complete() ? codec::reading::complete : co_await c->read(error, Source::kept, pace);
     if (error == asio::error::no_buffer_space) co_return co_await refuse_unread(c);
     if (error || got == codec::reading::unfinished) co_return;
     c->no_limit();
@@ -60,14 +60,14 @@
                                                      : 400,
               "the request can't be read");
     } else {
-      if (source && c->in.wants_word()) {
+      if (source && c->in.expects_continue()) {
         std::size_t written = 0;
         error = co_await c->write(go_on, {}, written);
         if (error) co_return;
       }
       const ScopedCount body_bytes(bodies_, source ? Source::kept : c->in.body().size());
       most_held_ = std::max(most_held_, *bodies_);
-      if (*bodies_ <= most_bodies_ && sockets_.memory().make_room_for_request())
+      if (*bodies_ <= most_bodies_ && sockets_.memory().ensure_capacity_for_request())
         a = co_await answer_to(c, source, gone);
       else
         ++counts_.refused, a = own(503, "this node holds all it can", unready_back);
@@ -75,7 +75,7 @@
         co_await source->rest.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
     if (gone || !c->open()) co_return;
-    const bool rest = source && !c->in.whole();
+    const bool rest = source && !c->in.is_complete();
     // What a client has sent behind this request already is answered, too, before a process ends.
     const bool last = ending_ && !c->in.behind() && c->still();
     bool stays = read && !rest && c->in.keep_alive() && !last && !sockets_.is_crowded();
--- a/src/sidecar/peer_connections.cpp
+++ b/src/sidecar/peer_connections.cpp
@@ -31,7 +31,7 @@
   };
   const bool comes = m.longer_than(Source::handed);
   return {told(deadline_header), told(aim_header), told("X-Remaining-Ms"), comes,
-          comes ? double(m.told().value_or(Source::kept)) : 0};
+          comes ? double(m.content_length().value_or(Source::kept)) : 0};
 }
 
 }  // namespace
@@ -42,7 +42,7 @@
   for (codec::reading got = codec::reading::unfinished;;) {
     got = co_await c.more(error);
     if (error || got != codec::reading::unfinished) co_return got;
-    if (c.in.wants_word()) {
+    if (c.in.expects_continue()) {
       held = inbound_proxy_.verdict(std::string(c.in.header(instance_header)), asked_by(c.in));
       if (held != admission::RejectReason::none) co_return codec::reading::unfinished;
       std::size_t written = 0;
@@ -61,7 +61,7 @@
     asio::error_code error;
     admission::RejectReason early = admission::RejectReason::none;
     const codec::reading got =
-        c->in.whole() ? codec::reading::complete : co_await read_inner(*c, error, early);
+        c->in.is_complete() ? codec::reading::complete : co_await read_inner(*c, error, early);
     const bool is_named = c->in.times("X-Attempt-Id") == 1;
     if (error == asio::error::no_buffer_space && is_named) {
       const std::string head = held_head(c->in, no_memory);
@@ -110,7 +110,7 @@
     } else {
       const auto in_flight = std::make_shared<InFlightRequest>();
       Result r;
-      if (!sockets_.memory().make_room_for_request()) {
+      if (!sockets_.memory().ensure_capacity_for_request()) {
         r.how = outcome::held;
         r.why = no_memory;
       } else {
@@ -135,7 +135,7 @@
     }
     if (source) inner_bytes_ += c->in.came();
     if (gone || !c->open() || (source && source->failed)) co_return;
-    const bool rest = source && !c->in.whole();
+    const bool rest = source && !c->in.is_complete();
     bool stays = !rest && c->in.keep_alive() && !ending_;
     const bool is_written = co_await write_answer(c, std::move(a), true, stays);
     if (is_written && rest) co_await read_out(*c);
--- a/src/sidecar/request_routing.cpp
+++ b/src/sidecar/request_routing.cpp
@@ -98,7 +98,7 @@
   ++counts_.taken;
   limits::Taken taken;
   taken.allowed.two_at_once = false;
-  const double bytes = source ? double(m.told().value_or(Source::kept)) : double(m.body().size());
+  const double bytes = source ? double(m.content_length().value_or(Source::kept)) : double(m.body().size());
   taken.allowed.crossing = std::clamp(bytes / usual_bytes, 1.0, most_crossing);
   const micros waited = t->channel->deadline - remaining + elapsed;
   t->aim_at = clock_.now() + std::max<micros>(0, t->channel->aim - waited);
@@ -186,7 +186,7 @@
   auto request = std::make_shared<OutgoingRequest>(*t->request);
   const admission::AdmissionController::RequestInfo asked{
       t->channel->deadline, std::max<micros>(0, t->aim_at - begun), left, source != nullptr,
-      source ? double(source->from->in.told().value_or(Source::kept)) : 0};
+      source ? double(source->from->in.content_length().value_or(Source::kept)) : 0};
   request->headers =
       fmt::format("{}X-Remaining-Ms: {}\r\n{}: {}\r\n{}: {}\r\n{}: {}\r\n", t->common,
                   std::max<micros>(1, (left - closing_margin) / 1000), instance_header, order.server,
--- a/src/sidecar/upstream_pool.cpp
+++ b/src/sidecar/upstream_pool.cpp
@@ -84,7 +84,7 @@
 awaitable<void> read_out(Connection& c) {
   c.limit(steady::now() + read_out_limit);
   asio::error_code error;
-  while (!c.in.whole()) {
+  while (!c.in.is_complete()) {
     c.in.pass_on();
     if (co_await c.more(error) != codec::reading::unfinished || error) break;
   }
@@ -94,7 +94,7 @@
 
 // Reads on, and drops, what is left of an answer that belongs to no request.
 awaitable<void> read_past(Connection& c, asio::error_code& error) {
-  while (!error && !c.in.whole()) {
+  while (!error && !c.in.is_complete()) {
     c.in.pass_on();
     const codec::reading got = co_await c.more(error);
     const bool goes_on = got == codec::reading::unfinished || got == codec::reading::complete;
@@ -131,7 +131,7 @@
   source->pouring = true;
   in_flight->source = source;
   ProgressLimit progress;
-  for (codec::reading got = from.in.whole() ? codec::reading::complete : codec::reading::unfinished;;) {
+  for (codec::reading got = from.in.is_complete() ? codec::reading::complete : codec::reading::unfinished;;) {
     p.whole = got == codec::reading::complete;
     const std::string_view body = from.in.body();
     std::size_t written = 0;
@@ -180,7 +180,7 @@
   UpstreamResult f;
   const auto begun = steady::now();
   auto handed = begun;
-  const auto told = [&] {
+  const auto result = [&] {
     const auto now = steady::now();
     const auto waited = request->source ? request->source->waited : steady::duration();
     f.ran_out = f.ran_out || now >= until;
@@ -189,20 +189,20 @@
     in_flight->connection.reset();
     return std::move(f);
   };
-  if (in_flight->off) co_return told();
+  if (in_flight->off) co_return result();
   const auto known_as = std::uint32_t(std::hash<std::string>()(request->id));
   PooledConnection lane = kept(known_as);
   in_flight->connection = lane.connection;
   if (!in_flight->connection) {
     lane.incarnation = incarnation_;
-    if (!sockets_.ensure_capacity()) co_return told();
+    if (!sockets_.ensure_capacity()) co_return result();
     ++dials;
     in_flight->connection =
         std::make_shared<Connection>(tcp::socket(io_), sockets_, HTTP_RESPONSE, answer_limits, share_);
     in_flight->connection->bound_sending(Connection::UnsentOnClose::dropped);
     in_flight->connection->limit(std::min(until, steady::now() + options_.dial_limit));
     const auto failed = co_await in_flight->connection->connect(to_);
-    if (failed || in_flight->off) co_return told();
+    if (failed || in_flight->off) co_return result();
     if (options_.user_timeout_ms > 0) {
       const int ms = options_.user_timeout_ms;
       ::setsockopt(in_flight->connection->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms,
@@ -211,18 +211,18 @@
   }
   const auto held = in_flight->connection;  // it may be let go of meanwhile
   Connection& c = *held;
-  if (!c.open() || steady::now() >= until) co_return told();
+  if (!c.open() || steady::now() >= until) co_return result();
   f.how_far = came::connected;
   c.limit(until);
   const std::string_view body = request->body ? std::string_view(*request->body) : std::string_view();
   const std::shared_ptr<Source> source = request->source;
-  const bool framed = source && !source->from->in.told();
+  const bool framed = source && !source->from->in.content_length();
   const bool sized = source || !body.empty() || request->method == "POST" || request->method == "PUT" ||
                      request->method == "PATCH";
   const bool asks = options_.asks_first > 0 && (source || body.size() >= options_.asks_first);
   const std::string length =
       framed ? "Transfer-Encoding: chunked"
-             : fmt::format("Content-Length: {}", source ? *source->from->in.told() : body.size());
+             : fmt::format("Content-Length: {}", source ? *source->from->in.content_length() : body.size());
   const std::string head =
       sized ? fmt::format("{} {} HTTP/1.1\r\n{}{}{}\r\n\r\n", request->method, request->target,
                           request->headers, asks ? "Expect: 100-continue\r\n" : "", length)
@@ -233,10 +233,10 @@
   if (!error && asks) {
     const codec::reading got = co_await c.read(error);
     if (error || in_flight->off || got == codec::reading::unfinished)
-      co_return told();  // not a byte of the body was sent
+      co_return result();  // not a byte of the body was sent
     wanted = got == codec::reading::complete && c.in.status() == 100;
     if (wanted) {
-      if (c.in.next() == codec::reading::malformed) co_return told();
+      if (c.in.next() == codec::reading::malformed) co_return result();
       std::size_t more = 0;
       if (!source) error = co_await c.write(body, {}, more);
       written += more;
@@ -248,23 +248,23 @@
     all = p.whole, f.early = p.early && !p.whole;
     error = f.early ? asio::error_code() : p.error;
     wanted = !f.early;  // what its peer has not read whole leaves nothing to go on with
-    if (!all && !f.early) co_return told();
+    if (!all && !f.early) co_return result();
   }
   if (all && wanted) {
     f.how_far = came::written;
     handed = steady::now();
     if (in_flight->wrote) in_flight->wrote();
   }
-  if (error || in_flight->off) co_return told();
+  if (error || in_flight->off) co_return result();
   bool nameless_refusal = false;
   for (int strangers = 0, interims = 0;;) {
     codec::reading got = co_await read_answer(c, error, request->longest_answer);
-    if (in_flight->off || got == codec::reading::unfinished) co_return told();
+    if (in_flight->off || got == codec::reading::unfinished) co_return result();
     const bool is_streamed =
-        got == codec::reading::longer && request->longest_answer > AnswerStream::held_bytes;
+        got == codec::reading::longer && request->longest_answer > AnswerStream::buffered_bytes;
     if (got != codec::reading::complete && !is_streamed) {
       f.broken = true;
-      co_return told();
+      co_return result();
     }
     const bool interim = c.in.status() < 200;
     const auto echoed = c.in.header("X-Attempt-Id");
@@ -277,28 +277,28 @@
                                : echoed == request->id && c.in.times("X-Attempt-Id") == 1;
     if (!interim && runs_together(c.in)) {
       f.broken = true;
-      co_return told();
+      co_return result();
     }
     if (!interim && ours) break;
     // Before its body was sent whole no server has said anything of it: there is nothing to wait for.
-    if (f.early && !interim) co_return told();
+    if (f.early && !interim) co_return result();
     if (interim ? ++interims > most_interim_answers
                 : !options_.strangers || nameless || ++strangers > most_strangers) {
       f.broken = true;
-      co_return told();
+      co_return result();
     }
     if (is_streamed) co_await read_past(c, error);
-    if (error || in_flight->off) co_return told();
+    if (error || in_flight->off) co_return result();
     if (c.in.next() == codec::reading::malformed) {
       f.broken = true;
-      co_return told();
+      co_return result();
     }
   }
   // A body that only the connection's end ends can't be told from one that was cut off.
-  if (c.in.status() != 204 && c.in.status() != 304 && !c.in.told() &&
+  if (c.in.status() != 204 && c.in.status() != 304 && !c.in.content_length() &&
       c.in.header("Transfer-Encoding").empty()) {
     f.broken = true;
-    co_return told();
+    co_return result();
   }
   f.how_far = came::answered;
   f.status = c.in.status();
@@ -310,11 +310,11 @@
   const auto idle_limit = idle_limit_of(c.in);
   const bool is_reusable = wanted && !nameless_refusal && lane.incarnation == incarnation_;
   lane.connection = held;
-  if (!c.in.whole()) {
+  if (!c.in.is_complete()) {
     f.stream = std::make_shared<AnswerStream>(held, until, [this, lane, known_as, idle_limit, is_reusable] {
       if (is_reusable) keep(lane, known_as, idle_limit);
     });
-    co_return told();
+    co_return result();
   }
   const bool is_long = c.in.body().size() > node::MemoryBudget::short_message_bytes;
   f.held = std::make_shared<node::MemoryBudget::Reservation>(sockets_.shared_memory());
@@ -324,7 +324,7 @@
   c.in.let_go();
   // A copy of a refusal that named no request could be any request's.
   if (is_reusable) keep(std::move(lane), known_as, idle_limit);
-  co_return told();
+  co_return result();
 }
 
 // Less a little than its peer tells: none is met as it is being closed.
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -73,7 +73,8 @@
   awaitable<void> serve(std::shared_ptr<node::Connection> c) {
     for (;;) {
       asio::error_code error;
-      if ((c->in.whole() ? codec::reading::complete : co_await c->read(error)) != codec::reading::complete)
+      if ((c->in.is_complete() ? codec::reading::complete : co_await c->read(error)) !=
+          codec::reading::complete)
         co_return;
       const auto meant = c->in.header("X-Target-Instance");
       std::string head, body;
--- a/tests/mesh/memory_budget_test.cpp
+++ b/tests/mesh/memory_budget_test.cpp
@@ -166,11 +166,11 @@
   Peer stalled(budget, std::chrono::seconds(5)), at_work(budget, std::chrono::seconds(0));
   CHECK(stalled.memory.resize(6'000, Use::ordinary));
   CHECK(at_work.memory.resize(6'800, Use::ordinary));
-  CHECK(budget->make_room_for_request());
+  CHECK(budget->ensure_capacity_for_request());
   CHECK_EQUAL(0, stalled.memory.bytes());
   Reservation rest(budget);
   CHECK(rest.resize(6'000, Use::ordinary));
-  CHECK_FALSE(budget->make_room_for_request());
+  CHECK_FALSE(budget->ensure_capacity_for_request());
   CHECK_EQUAL(6'800, at_work.memory.bytes());
 }
 
--- a/tests/mesh/mesh_processes.h
+++ b/tests/mesh/mesh_processes.h
@@ -75,7 +75,8 @@
   awaitable<void> serve(std::shared_ptr<node::Connection> c) {
     for (;;) {
       asio::error_code error;
-      if ((c->in.whole() ? codec::reading::complete : co_await c->read(error)) != codec::reading::complete)
+      if ((c->in.is_complete() ? codec::reading::complete : co_await c->read(error)) !=
+          codec::reading::complete)
         co_return;
       const std::string id(c->in.header("X-Attempt-Id"));
       if (!id.empty()) arrived_.insert(id);
--- a/tests/mesh/sidecar_test.cpp
+++ b/tests/mesh/sidecar_test.cpp
@@ -356,7 +356,7 @@
     box.connections.push_back(c);
     for (const int me = ++box.taken_in;;) {
       asio::error_code error;
-      codec::reading got = c->in.whole() ? codec::reading::complete : co_await c->read(error, 100'000);
+      codec::reading got = c->in.is_complete() ? codec::reading::complete : co_await c->read(error, 100'000);
       if (got == codec::reading::longer && box.early) {
         std::size_t written = 0;
         while (c->in.came() < 200'000 && co_await c->more(error) == codec::reading::unfinished && !error)
@@ -559,7 +559,7 @@
           std::size_t written = 0;
           asio::error_code error = co_await c->write(text, {}, written);
           for (int n = 0; n < 4 && !error; ++n) {
-            if (!c->in.whole()) co_await c->read(error);
+            if (!c->in.is_complete()) co_await c->read(error);
             if (!error) got += std::string(c->in.body()) + " ", c->in.next();
           }
           over = true;
@@ -797,7 +797,7 @@
   void read() { asio::co_spawn(mesh_.io, read_whole(), asio::detached); }
   void leave() { connection_->close(); }
   bool is_over() const { return is_over_; }
-  bool is_whole() const { return connection_->in.whole(); }
+  bool is_whole() const { return connection_->in.is_complete(); }
   const codec::Message& answer() const { return connection_->in; }
 
  private:
@@ -976,7 +976,7 @@
         std::size_t written = 0;
         asio::error_code error = co_await c->write(text, {}, written);
         while (!error && answers < 3) {
-          if (!c->in.whole()) co_await c->read(error);
+          if (!c->in.is_complete()) co_await c->read(error);
           if (error) break;
           ++answers, closed = !c->in.keep_alive();
           c->in.next();
@@ -1655,7 +1655,7 @@
       bool stays = !error;
       for (const std::string& id : ids) {
         if (!stays) break;
-        const auto got = c->in.whole() ? codec::reading::complete : co_await c->read(error);
+        const auto got = c->in.is_complete() ? codec::reading::complete : co_await c->read(error);
         stays = got == codec::reading::complete && c->in.keep_alive();
         if (c->ran_out()) fault(id + " got no answer");
         if (got != codec::reading::complete) break;
--- a/tests/mesh/socket_buffers_test.cpp
+++ b/tests/mesh/socket_buffers_test.cpp
@@ -124,7 +124,7 @@
     pair.io.run_for(300ms);
     const std::size_t reserved = pair.memory->in_use();
     CHECK(pair.unsent() > 0);
-    CHECK(pair.unsent() <= SocketBuffers::narrow_send + SocketBuffers::narrow_piece + reserved);
+    CHECK(pair.unsent() <= SocketBuffers::narrow_send + SocketBuffers::narrow_record + reserved);
     CHECK_EQUAL(has_memory, reserved > 0);
     CHECK_EQUAL(8 * megabyte, pair.read_all());
     CHECK(pair.run_until([&] { return pair.is_written; }));
--- a/tests/mesh/test_client.h
+++ b/tests/mesh/test_client.h
@@ -39,7 +39,7 @@
       got = co_await c->more(error);
       if (got == codec::reading::unfinished) c->in.pass_on();
     }
-    const bool has_head = c->in.whole() || c->in.told() || c->in.open_ended();
+    const bool has_head = c->in.is_complete() || c->in.content_length() || c->in.open_ended();
     co_return Outcome(has_head ? c->in.status() : 0, !error && got == codec::reading::complete);
   }
 
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -28,8 +28,8 @@
 
 std::string unframed(const std::string& answer, http_parser_type kind = HTTP_RESPONSE) {
   const auto m = message(answer, kind, wide);
-  if (!m->whole()) m->ended();
-  return m->whole() ? std::string(m->body()) : "not whole";
+  if (!m->is_complete()) m->ended();
+  return m->is_complete() ? std::string(m->body()) : "not whole";
 }
 
 // Takes all that comes, says something once `after` bytes have, and keeps what it got.
