Turns are given where a request begins and at reads, not behind a write

Cause: let others go first behind a write, too; what follows an answer (its count, its record) came a round of the loop late.

Change: a connection gives way before it takes its next request and before a read.

Not run under the sanitizers.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -314,9 +314,9 @@
 
 // Others on this loop wait while a peer's next bytes are always there as the last have been dealt with.
 bool Connection::is_turn_over() {
-  constexpr int most_transfers = 4;
-  if (++transfers_ <= most_transfers) return false;
-  transfers_ = 0;
+  constexpr int most_steps = 4;
+  if (++steps_ <= most_steps) return false;
+  steps_ = 0;
   return true;
 }
 
@@ -335,7 +335,6 @@
     written = co_await asio::async_write(socket, parts, asio::redirect_error(asio::use_awaitable, error));
   }
   enter(before);
-  if (is_turn_over()) co_await yield();
   co_return error;
 }
 
@@ -412,7 +411,7 @@
     m.msg_controllen = control.size();
     const auto n = ::recvmsg(socket.native_handle(), &m, MSG_DONTWAIT);
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
-      transfers_ = 0;
+      steps_ = 0;
       co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
       if (error) co_return 0;
       continue;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -156,6 +156,10 @@
   void discard();
   // Drops the message that was read and looks at what came behind it.
   reading next();
+  // Counts a read, or a request that is begun; true now and then if nothing had to be waited for meanwhile:
+  // others on this loop are to go first, by yield().
+  bool is_turn_over();
+  awaitable<void> yield();
 
   // Tells the peer that no more comes, and drops what it still sends until it ends or the time is over: a
   // connection closed over unread bytes is reset, and what was written last goes with it.
@@ -189,9 +193,6 @@
   awaitable<asio::error_code> write_in_records(std::string_view head, std::string_view body,
                                                std::size_t& written);
   void drain();
-  // Counts a read or a write; true now and then if none had to wait: others on this loop are to go first.
-  bool is_turn_over();
-  awaitable<void> yield();
   void note_received(std::size_t bytes);
   int handle() const;
 
@@ -211,7 +212,7 @@
   steady::time_point phase_since_{};     // or, while it writes, since its peer has last taken something
   steady::time_point received_since_{};  // since when hardly anything has come
   std::size_t received_ = 0;             // bytes since then
-  int transfers_ = 0;                    // reads and writes since one had to wait
+  int steps_ = 0;                        // reads and requests since one was waited for
   std::shared_ptr<Connection> streamed_from_;
   UnsentOnClose unsent_on_close_ = UnsentOnClose::left_to_kernel;
   bool is_accepted_ = false, is_sending_bounded_ = false, receives_widely_ = false, is_receiving_ = false;
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -141,6 +141,7 @@
 
 awaitable<void> Server::serve(std::shared_ptr<Connection> connection) {
   for (;;) {
+    if (connection->is_turn_over()) co_await connection->yield();
     codec::Message& request = connection->in;
     connection->limit(node::steady::now() + (request.begun() ? head_timeout : idle_timeout));
     asio::error_code error;
--- a/src/sidecar/client_connections.cpp
+++ b/src/sidecar/client_connections.cpp
@@ -30,6 +30,7 @@
 awaitable<void> OutboundProxy::serve(std::shared_ptr<Connection> c) {
   callers_.push_back(c);
   for (bool first = true;; first = false) {
+    if (c->is_turn_over()) co_await c->yield();
     if (!c->in.begun()) {
       const configuration::Bounds& bounds = plan_->bounds;
       if (!first) c->idle_since = steady::now();
--- a/src/sidecar/peer_connections.cpp
+++ b/src/sidecar/peer_connections.cpp
@@ -57,6 +57,7 @@
 // Another node's request: what it wants is known by its headers, and how far it came goes back by ours.
 awaitable<void> OutboundProxy::serve_inner(std::shared_ptr<Connection> c) {
   for (;;) {
+    if (c->is_turn_over()) co_await c->yield();
     c->limit(steady::now() + 60s);
     asio::error_code error;
     admission::RejectReason early = admission::RejectReason::none;
