A long reply of the control port has time by its length to be written

Cause, by reading: a reply had 3 s to be written, whatever its length. Since the kernel takes at most 64 KiB of it ahead of the reader, so that these 3 s bound how long a caller may read. That this is what the test met was not shown.

Change: 3 s and its length at 256 KiB/s.

--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -11,7 +11,8 @@
 using namespace std::chrono_literals;
 constexpr std::chrono::milliseconds head_timeout = 3s;
 constexpr std::chrono::milliseconds idle_timeout = 30s;
-constexpr std::chrono::milliseconds write_timeout = 3s;
+constexpr std::chrono::milliseconds write_timeout = 3s;  // of a short reply
+constexpr std::size_t least_read_bytes_per_second = 256 * 1024;
 constexpr std::chrono::milliseconds close_timeout = 1s;
 constexpr std::chrono::milliseconds accept_retry_delay = 20ms;  // while descriptors are short
 constexpr int accept_backlog = 512;
@@ -37,6 +38,11 @@
                      keeps_connection ? "" : "Connection: close\r\n");
 }
 
+// A long reply takes as long as its caller reads it, at a least pace.
+std::chrono::milliseconds write_timeout_of(std::size_t bytes) {
+  return write_timeout + std::chrono::milliseconds(bytes * 1'000 / least_read_bytes_per_second);
+}
+
 bool can_read_on(codec::reading reading) {
   return reading == codec::reading::unfinished || reading == codec::reading::complete;
 }
@@ -165,7 +171,7 @@
     const bool makes_way = sockets_.is_crowded();
     const bool keeps_connection = is_readable && !drops_pipelined && !makes_way && request.keep_alive();
     if (!reserve_reply(*connection, reply)) reply = {503, R"({"fault":"no memory for the answer"})", {}, 0};
-    connection->limit(node::steady::now() + write_timeout);
+    connection->limit(node::steady::now() + write_timeout_of(reply.text().size()));
     std::size_t written = 0;
     const std::string head = head_of(reply, keeps_connection);
     error = co_await connection->write(head, reply.text(), written);
